--- a/cli/commands.cpp
+++ b/cli/commands.cpp
@@ -12,6 +12,8 @@
     static const std::vector<Command> all = {
             {"node", "run the small process of a backend server's VM",
              "node --settings=FILE [--check-only]", runNode},
+            {"mesh-node", "run the small process of a VM on the users' platform",
+             "mesh-node --settings=FILE [--check-only]", runMeshNode},
             {"questionnaire", "print an empty questionnaire", "questionnaire > answers.yaml",
              runQuestionnaire},
             {"check", "check answers or settings", "check --answers=FILE | --settings=FILE",
--- a/cli/local_commands.cpp
+++ b/cli/local_commands.cpp
@@ -5,8 +5,10 @@
 #include "cli/flags.h"
 #include "core/duration.h"
 #include "core/logger.h"
+#include "core/scope_guard.h"
 #include "modules/config/answers.h"
 #include "modules/config/config_json.h"
+#include "node/mesh_node.h"
 #include "node/node.h"
 
 namespace jacinthshift {
@@ -68,6 +70,40 @@
     return ExitCode::Ok;
 }
 
+ExitCode runMeshNode(const std::vector<std::string> &)
+{
+    if (FLAGS_settings.empty()) {
+        std::cerr << "mesh-node needs --settings=FILE\n";
+        return ExitCode::Usage;
+    }
+    Problems problems;
+    const MeshSettings settings = readMeshSettings(FLAGS_settings, problems);
+    startLogging(LoggerOptions{.level = settings.logLevel,
+                               .format = LogFormat::JsonLines,
+                               .target = LogTarget::StandardOutput,
+                               .node = settings.node,
+                               .failureDomain = settings.domain});
+    const ScopeGuard flush([] { flushLog(); });
+    if (!problems.empty()) {
+        for (const Problem &problem : problems)
+            logEvent(Event::SettingsRefused, {{"problem", problem.text()}});
+        return reportProblems(problems);
+    }
+    if (FLAGS_check_only) {
+        std::cout << FLAGS_settings << " is good\n";
+        return ExitCode::Ok;
+    }
+    MeshNode node(settings, FLAGS_settings);
+    const absl::Status status = node.start();
+    if (!status.ok()) {
+        logEvent(Event::SettingsRefused, {{"problem", std::string(status.message())}});
+        std::cerr << status.message() << "\n";
+        return ExitCode::Unreachable;
+    }
+    node.run();
+    return ExitCode::Ok;
+}
+
 ExitCode runQuestionnaire(const std::vector<std::string> &)
 {
     std::cout << questionnaireText();
--- a/cli/local_commands.h
+++ b/cli/local_commands.h
@@ -10,6 +10,7 @@
 
 // Commands that need no running mesh.
 ExitCode runNode(const std::vector<std::string> &arguments);
+ExitCode runMeshNode(const std::vector<std::string> &arguments);
 ExitCode runQuestionnaire(const std::vector<std::string> &arguments);
 ExitCode runCheck(const std::vector<std::string> &arguments);
 ExitCode runGenerate(const std::vector<std::string> &arguments);
--- a/core/logger.cpp
+++ b/core/logger.cpp
@@ -3,10 +3,14 @@
 #include <chrono>
 #include <iostream>
 #include <map>
+#include <memory>
+
+#include <unistd.h>
 
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
@@ -15,13 +19,31 @@
 #include <nlohmann/json.hpp>
 
 #include "core/duration.h"
+#include "core/log_output.h"
 
 namespace jacinthshift {
 
 namespace {
 
+namespace sinks = boost::log::sinks;
+
 constexpr int LimitedLinesPerSecond = 20;
 
+/** Hands formatted lines to the output that never blocks. */
+class LogOutputBackend final
+    : public sinks::basic_formatted_sink_backend<char, sinks::synchronized_feeding>
+{
+    LogOutput &m_output;
+
+public:
+    explicit LogOutputBackend(LogOutput &output) : m_output(output) {}
+
+    void consume(const boost::log::record_view &, const std::string &line)
+    {
+        m_output.append(line);
+    }
+};
+
 /** Counts the lines of one rate-limited event in the current second. */
 struct RateWindow
 {
@@ -35,6 +57,8 @@
     LoggerOptions options;
     bool started = false;
     std::map<Event, RateWindow> windows;
+    std::uint64_t limitedLines = 0;
+    std::unique_ptr<LogOutput> output;
     boost::log::sources::logger source;
 };
 
@@ -55,6 +79,7 @@
     }
     if (window.written >= LimitedLinesPerSecond) {
         ++window.suppressed;
+        ++state().limitedLines;
         return false;
     }
     ++window.written;
@@ -119,14 +144,9 @@
 
 } // namespace
 
-void startLogging(const LoggerOptions &options)
+static void addStandardErrorSink()
 {
-    namespace sinks = boost::log::sinks;
     using Sink = sinks::synchronous_sink<sinks::text_ostream_backend>;
-    state().options = options;
-    if (state().started)
-        return;
-    state().started = true;
     boost::shared_ptr<Sink> sink = boost::make_shared<Sink>();
     const boost::shared_ptr<std::ostream> stream(&std::clog, boost::null_deleter());
     sink->locked_backend()->add_stream(stream);
@@ -135,6 +155,45 @@
     boost::log::core::get()->add_sink(sink);
 }
 
+static void addStandardOutputSink()
+{
+    using Sink = sinks::synchronous_sink<LogOutputBackend>;
+    state().output = std::make_unique<LogOutput>(STDOUT_FILENO);
+    boost::shared_ptr<Sink> sink = boost::make_shared<Sink>(
+            boost::make_shared<LogOutputBackend>(*state().output));
+    sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
+    boost::log::core::get()->add_sink(sink);
+}
+
+void startLogging(const LoggerOptions &options)
+{
+    state().options = options;
+    if (state().started)
+        return;
+    state().started = true;
+    if (options.target == LogTarget::StandardOutput)
+        addStandardOutputSink();
+    else
+        addStandardErrorSink();
+}
+
+void setLogLevel(EventLevel level)
+{
+    state().options.level = level;
+}
+
+void flushLog()
+{
+    if (state().output != nullptr)
+        state().output->flush();
+}
+
+LogLosses logLosses()
+{
+    return LogLosses{.limited = state().limitedLines,
+                     .dropped = state().output == nullptr ? 0 : state().output->dropped()};
+}
+
 void logEvent(Event event, std::initializer_list<LogField> fields)
 {
     const EventInfo &info = eventInfo(event);
--- a/core/logger.h
+++ b/core/logger.h
@@ -2,6 +2,7 @@
 #define CORE_LOGGER_H
 
 #include <concepts>
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -26,18 +27,40 @@
 
 enum class LogFormat { Text, JsonLines };
 
+/** Where lines go. */
+enum class LogTarget {
+    StandardError,  ///< Written line by line.
+    StandardOutput, ///< Collected; flushLog() writes them, and they are dropped rather than block.
+};
+
 /** How and for whom log lines are written. */
 struct LoggerOptions
 {
     EventLevel level = EventLevel::Info;
     LogFormat format = LogFormat::Text;
+    LogTarget target = LogTarget::StandardError;
     std::string node;
     std::string failureDomain;
 };
 
-/** Sets up logging to the standard error stream through Boost.Log. Call it once, at the start. */
+/** Sets up logging through Boost.Log. Call it once, at the start. */
 void startLogging(const LoggerOptions &options);
 
+/** Changes the lowest level that is written. */
+void setLogLevel(EventLevel level);
+
+/** Writes lines that were collected for the standard output. */
+void flushLog();
+
+/** What was not written, since the start. */
+struct LogLosses
+{
+    std::uint64_t limited = 0; ///< Lines over an event's limit a second.
+    std::uint64_t dropped = 0; ///< Lines for which the output had no room.
+};
+
+LogLosses logLosses();
+
 /** Writes one line for an event, unless its level is too low or its rate limit is used up. */
 void logEvent(Event event, std::initializer_list<LogField> fields);
 
--- a/drivers/beast/beast_http_client.cpp
+++ b/drivers/beast/beast_http_client.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <map>
-#include <sstream>
 #include <unordered_map>
 #include <vector>
 
@@ -11,6 +10,7 @@
 #include <boost/beast/http.hpp>
 
 #include "core/text.h"
+#include "drivers/beast/http_wire.h"
 #include "drivers/tcp/tcp_socket.h"
 
 namespace jacinthshift {
@@ -22,24 +22,22 @@
 constexpr std::size_t ReadBytes = 16 * 1024;
 constexpr std::uint32_t MaxHeaderBytes = 32 * 1024;
 
-std::string serialize(const Endpoint &server, const HttpRequest &request)
+/** Returns how long a connection may be idle by the Keep-Alive header, or zero if it is not told. */
+std::chrono::milliseconds keepAliveTime(const http::response<http::string_body> &message)
 {
-    http::request<http::string_body> message;
-    message.version(11);
-    message.method_string(request.method);
-    message.target(request.target);
-    message.set(http::field::host, server.text());
-    for (const HttpHeader &header : request.headers) {
-        const bool replaced =
-                equalsIgnoreCase(header.name, "host") || equalsIgnoreCase(header.name, "expect");
-        if (!replaced && !isHopByHopHeader(header.name))
-            message.insert(header.name, header.value);
-    }
-    message.body() = request.body;
-    message.prepare_payload();
-    std::ostringstream stream;
-    stream << message;
-    return stream.str();
+    constexpr std::string_view Key = "timeout=";
+    // The server's time began when it sent the answer, and the next request takes time to arrive.
+    constexpr std::chrono::milliseconds Margin{500};
+    const std::string value(message[http::field::keep_alive]);
+    const std::size_t at = value.find(Key);
+    std::uint32_t seconds = 0;
+    if (at == std::string::npos)
+        return std::chrono::milliseconds(0);
+    const std::size_t begin = at + Key.size();
+    const std::size_t end = value.find_first_not_of("0123456789", begin);
+    if (!parseNumber(value.substr(begin, end == std::string::npos ? end : end - begin), seconds))
+        return std::chrono::milliseconds(0);
+    return std::max(std::chrono::milliseconds(1), std::chrono::seconds(seconds) - Margin);
 }
 
 HttpResult failure(HttpFailure reason, bool written)
@@ -62,7 +60,7 @@
     Endpoint server;
     TcpSocket socket;
     bool connected = false;
-    std::chrono::steady_clock::time_point idleSince;
+    SteadyTime idleSince;
 
     // The exchange under way.
     HttpCallId call = HttpCallId::None;
@@ -72,15 +70,21 @@
     std::unique_ptr<Parser> parser;
     std::string input;
     bool headRequest = false;
-    GlibSource timeout;
+    bool closesAfter = false;
+    HttpHeader correlation;
+    std::chrono::milliseconds keptFor{0}; ///< How long the server keeps it open; zero if not told.
+    Timer timeout;
+    Timer connectTimeout;
 
     Connection(State &owner, Endpoint target) : state(owner), server(std::move(target)) {}
 
     void resetParser();
     void continueConnect();
+    void beginWrite();
     void continueWrite();
     void continueRead();
     bool parseInput();
+    bool answersThisRequest() const;
     void acceptAnswer();
     void fail(HttpFailure reason);
 };
@@ -94,7 +98,8 @@
     std::map<Endpoint, std::vector<ConnectionPointer>> idle;
     std::uint64_t lastId = 0;
 
-    ConnectionPointer takeIdle(const Endpoint &server, bool idempotent);
+    ConnectionPointer takeIdle(const Endpoint &server, std::chrono::milliseconds maxIdle);
+    void dropIdle(const Connection *connection);
     void finish(const ConnectionPointer &connection, HttpResult result, bool reusable);
     ConnectionPointer find(HttpCallId id)
     {
@@ -103,28 +108,34 @@
     }
 };
 
-BeastHttpClient::State::ConnectionPointer BeastHttpClient::State::takeIdle(const Endpoint &server,
-                                                                           bool idempotent)
+BeastHttpClient::State::ConnectionPointer
+BeastHttpClient::State::takeIdle(const Endpoint &server, std::chrono::milliseconds maxIdle)
 {
     const auto found = idle.find(server);
-    if (found == idle.end())
+    if (found == idle.end() || found->second.empty())
         return nullptr;
-    const std::chrono::steady_clock::time_point now = std::chrono::steady_clock::now();
     std::vector<ConnectionPointer> &connections = found->second;
-    while (!connections.empty()) {
-        ConnectionPointer newest = connections.back();
-        const std::chrono::steady_clock::duration age = now - newest->idleSince;
-        if (age > options.idleLimit) {
-            connections.clear();
-            return nullptr;
-        }
-        if (!idempotent && age > options.idleLimitNonIdempotent)
-            return nullptr;
-        connections.pop_back();
-        if (newest->socket.isQuiet())
-            return newest;
+    const ConnectionPointer newest = connections.back();
+    const SteadyTime::duration age = EpollLoop::instance().now() - newest->idleSince;
+    if (age > options.idleLimit) {
+        connections.clear();
+        return nullptr;
     }
-    return nullptr;
+    const bool tooOld = age > maxIdle || (newest->keptFor.count() > 0 && age > newest->keptFor);
+    if (tooOld)
+        return nullptr;
+    connections.pop_back();
+    return newest;
+}
+
+void BeastHttpClient::State::dropIdle(const Connection *connection)
+{
+    const auto found = idle.find(connection->server);
+    if (found == idle.end())
+        return;
+    std::erase_if(found->second, [connection](const ConnectionPointer &known) {
+        return known.get() == connection;
+    });
 }
 
 void BeastHttpClient::State::finish(const ConnectionPointer &connection, HttpResult result,
@@ -132,15 +143,20 @@
 {
     active.erase(connection->call);
     connection->call = HttpCallId::None;
-    connection->timeout.reset();
-    connection->socket.stopWaiting();
+    connection->timeout.stop();
+    connection->connectTimeout.stop();
     const Callback callback = std::exchange(connection->callback, nullptr);
     if (reusable) {
         std::vector<ConnectionPointer> &connections = idle[connection->server];
-        connection->idleSince = std::chrono::steady_clock::now();
+        connection->idleSince = EpollLoop::instance().now();
         if (connections.size() >= options.maxIdlePerServer)
             connections.erase(connections.begin());
         connections.push_back(connection);
+        // Input on an idle connection is its end or bytes that belong to no request.
+        Connection *raw = connection.get();
+        raw->socket.waitReadable([this, raw] { dropIdle(raw); });
+    } else {
+        connection->socket.close();
     }
     callback(std::move(result));
 }
@@ -161,9 +177,21 @@
         return;
     }
     connected = true;
+    connectTimeout.stop();
     continueWrite();
 }
 
+void BeastHttpClient::Connection::beginWrite()
+{
+    const SocketStep step = socket.write(output.data(), output.size(), written);
+    if (step == SocketStep::Progress && written == output.size()) {
+        socket.waitReadable([this] { continueRead(); });
+        return;
+    }
+    // The rest, or the failure, follows from the loop: the callback must not run yet.
+    socket.waitWritable([this] { continueWrite(); });
+}
+
 void BeastHttpClient::Connection::continueWrite()
 {
     while (written < output.size()) {
@@ -183,6 +211,8 @@
 
 void BeastHttpClient::Connection::continueRead()
 {
+    // An answer may end the exchange and with it the last reference to this connection.
+    const std::shared_ptr<Connection> self = state.find(call);
     std::array<char, ReadBytes> buffer;
     std::size_t received = 0;
     const SocketStep step = socket.read(buffer.data(), buffer.size(), received);
@@ -215,16 +245,33 @@
             return true;
         if (error)
             return false;
-        const bool interim = parser->is_done() && parser->get().result_int() < 200;
-        if (interim)
+        if (parser->is_done() && !answersThisRequest()) {
+            closesAfter = closesAfter || !parser->keep_alive();
             resetParser();
+        }
     }
     return true;
 }
 
+bool BeastHttpClient::Connection::answersThisRequest() const
+{
+    if (parser->get().result_int() < 200)
+        return false;
+    const auto found = parser->get().find(correlation.name);
+    return correlation.name.empty() || found == parser->get().end()
+           || found->value() == correlation.value;
+}
+
 void BeastHttpClient::Connection::acceptAnswer()
 {
-    const bool reusable = parser->keep_alive() && input.empty();
+    const bool anonymous = !correlation.name.empty()
+                           && parser->get().find(correlation.name) == parser->get().end();
+    if (anonymous && parser->get().result_int() < 300) {
+        fail(HttpFailure::Malformed);
+        return;
+    }
+    const bool reusable = parser->keep_alive() && input.empty() && !closesAfter;
+    keptFor = keepAliveTime(parser->get());
     HttpResult result;
     result.verdict = Verdict::Done;
     http::response<http::string_body> message = parser->release();
@@ -258,48 +305,39 @@
                                  Callback callback)
 {
     const HttpCallId id = static_cast<HttpCallId>(++m_state->lastId);
-    State::ConnectionPointer connection =
-            m_state->takeIdle(options.server, isIdempotentMethod(request.method));
+    const std::chrono::milliseconds maxIdle = options.maxIdle.value_or(
+            isIdempotentMethod(request.method) ? m_state->options.idleLimit
+                                               : m_state->options.idleLimitNonIdempotent);
+    State::ConnectionPointer connection = m_state->takeIdle(options.server, maxIdle);
     if (connection == nullptr)
         connection = std::make_shared<Connection>(*m_state, options.server);
     Connection *raw = connection.get();
     raw->call = id;
     raw->callback = std::move(callback);
-    raw->output = serialize(options.server, request);
+    raw->output = requestBytes(options.server, request);
     raw->written = 0;
     raw->input.clear();
     raw->headRequest = request.method == "HEAD";
+    raw->correlation = options.correlation;
     raw->resetParser();
     m_state->active.emplace(id, connection);
 
-    GSource *timeout = g_timeout_source_new(
-            static_cast<guint>(std::max<std::int64_t>(0, options.timeout.count())));
-    g_source_set_callback(
-            timeout,
-            [](gpointer data) -> gboolean {
-                static_cast<Connection *>(data)->fail(HttpFailure::TimedOut);
-                return G_SOURCE_CONTINUE;
-            },
-            raw, nullptr);
-    raw->timeout = GlibSource(timeout);
-
+    EpollLoop &loop = EpollLoop::instance();
+    raw->timeout = Timer(loop, loop.startOnce(options.timeout,
+                                              [raw] { raw->fail(HttpFailure::TimedOut); }));
     if (raw->connected) {
-        raw->socket.waitWritable([raw] { raw->continueWrite(); });
+        raw->beginWrite();
         return id;
     }
     if (raw->socket.connect(options.server, m_state->options.localAddress)) {
         raw->socket.waitWritable([raw] { raw->continueConnect(); });
+        raw->connectTimeout =
+                Timer(loop, loop.startOnce(options.connectTimeout,
+                                           [raw] { raw->fail(HttpFailure::ConnectFailed); }));
         return id;
     }
-    GSource *failed = g_idle_source_new();
-    g_source_set_callback(
-            failed,
-            [](gpointer data) -> gboolean {
-                static_cast<Connection *>(data)->fail(HttpFailure::ConnectFailed);
-                return G_SOURCE_CONTINUE;
-            },
-            raw, nullptr);
-    raw->timeout = GlibSource(failed);
+    raw->timeout = Timer(loop, loop.startOnce(std::chrono::milliseconds(0),
+                                              [raw] { raw->fail(HttpFailure::ConnectFailed); }));
     return id;
 }
 
--- /dev/null
+++ b/drivers/beast/beast_http_server.h
@@ -0,0 +1,38 @@
+#ifndef DRIVERS_BEAST_BEAST_HTTP_SERVER_H
+#define DRIVERS_BEAST_BEAST_HTTP_SERVER_H
+
+#include <memory>
+
+#include "servers/http_server.h"
+
+namespace jacinthshift {
+
+/** An HTTP server that uses the parser of Boost.Beast over sockets of the epoll loop. */
+class BeastHttpServer final : public HttpServer
+{
+public:
+    class Connection;
+
+private:
+    struct State;
+    std::shared_ptr<State> m_state;
+
+public:
+    explicit BeastHttpServer(const HttpServerOptions &options);
+    ~BeastHttpServer() override;
+
+    absl::Status listen(const Endpoint &endpoint, Handler handler) override;
+    void stopListening() override;
+
+    /** Replaces the limits; requests that are being read keep theirs. */
+    void setOptions(const HttpServerOptions &options);
+    /** From now on each answer ends its connection. */
+    void closeAfterAnswers();
+    std::size_t connectionCount() const;
+    /** Returns the number of requests that were read and are not answered. */
+    std::size_t openRequests() const;
+};
+
+} // namespace jacinthshift
+
+#endif // DRIVERS_BEAST_BEAST_HTTP_SERVER_H
--- /dev/null
+++ b/drivers/beast/http_wire.cpp
@@ -0,0 +1,70 @@
+#include "drivers/beast/http_wire.h"
+
+#include <boost/beast/http/status.hpp>
+
+#include "core/text.h"
+
+namespace jacinthshift {
+
+namespace {
+
+constexpr std::size_t TypicalHeadBytes = 512;
+
+void appendHeader(std::string &bytes, std::string_view name, std::string_view value)
+{
+    bytes.append(name).append(": ").append(value).append("\r\n");
+}
+
+void appendBody(std::string &bytes, const std::string &body)
+{
+    appendHeader(bytes, "Content-Length", std::to_string(body.size()));
+    bytes.append("\r\n").append(body);
+}
+
+bool carriesBody(const HttpRequest &request)
+{
+    return !request.body.empty() || request.method == "POST" || request.method == "PUT"
+           || request.method == "PATCH";
+}
+
+} // namespace
+
+std::string requestBytes(const Endpoint &server, const HttpRequest &request)
+{
+    std::string bytes;
+    bytes.reserve(TypicalHeadBytes + request.body.size());
+    bytes.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
+    const std::string_view host = findHeader(request.headers, "host");
+    appendHeader(bytes, "Host", host.empty() ? std::string_view(server.text()) : host);
+    for (const HttpHeader &header : request.headers) {
+        const bool replaced =
+                equalsIgnoreCase(header.name, "host") || equalsIgnoreCase(header.name, "expect");
+        if (!replaced && !isHopByHopHeader(header.name))
+            appendHeader(bytes, header.name, header.value);
+    }
+    if (carriesBody(request))
+        appendBody(bytes, request.body);
+    else
+        bytes.append("\r\n");
+    return bytes;
+}
+
+std::string responseBytes(const HttpResponse &response, bool keepAlive)
+{
+    std::string bytes;
+    bytes.reserve(TypicalHeadBytes + response.body.size());
+    const boost::beast::string_view reason = boost::beast::http::obsolete_reason(
+            boost::beast::http::int_to_status(static_cast<unsigned>(response.status)));
+    bytes.append("HTTP/1.1 ").append(std::to_string(response.status)).append(" ");
+    bytes.append(reason.data(), reason.size()).append("\r\n");
+    for (const HttpHeader &header : response.headers) {
+        if (!isHopByHopHeader(header.name))
+            appendHeader(bytes, header.name, header.value);
+    }
+    if (!keepAlive)
+        appendHeader(bytes, "Connection", "close");
+    appendBody(bytes, response.body);
+    return bytes;
+}
+
+} // namespace jacinthshift
--- /dev/null
+++ b/drivers/epoll/epoll_loop.cpp
@@ -0,0 +1,263 @@
+#include "drivers/epoll/epoll_loop.h"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+
+#include <sys/epoll.h>
+#include <unistd.h>
+
+namespace jacinthshift {
+
+namespace {
+
+constexpr int MaxEventsPerRound = 128;
+constexpr std::chrono::milliseconds LongestWait{60'000};
+
+} // namespace
+
+/** The GSource with a pointer back to the loop. */
+struct EpollLoop::LoopSource
+{
+    GSource base;
+    EpollLoop *loop;
+    GPollFD descriptor;
+};
+
+EpollLoop &EpollLoop::instance()
+{
+    static EpollLoop theLoop;
+    return theLoop;
+}
+
+EpollLoop::EpollLoop()
+    : m_epoll(epoll_create1(EPOLL_CLOEXEC)), m_now(std::chrono::steady_clock::now())
+{
+    static GSourceFuncs functions = {prepare, check, dispatch, nullptr, nullptr, nullptr};
+    GSource *source = g_source_new(&functions, sizeof(LoopSource));
+    m_source = reinterpret_cast<LoopSource *>(source);
+    m_source->loop = this;
+    m_source->descriptor = GPollFD{m_epoll, G_IO_IN, 0};
+    g_source_add_poll(source, &m_source->descriptor);
+    g_source_set_can_recurse(source, FALSE);
+    g_source_attach(source, nullptr);
+    g_main_context_set_poll_func(nullptr, poll);
+}
+
+EpollLoop::~EpollLoop()
+{
+    g_main_context_set_poll_func(nullptr, nullptr);
+    GSource *source = &m_source->base;
+    g_source_destroy(source);
+    g_source_unref(source);
+    close(m_epoll);
+}
+
+gint EpollLoop::poll(GPollFD *descriptors, guint count, gint timeout)
+{
+    EpollLoop &loop = instance();
+    GPollFD *own = nullptr;
+    GPollFD *other = nullptr;
+    for (guint i = 0; i < count; ++i) {
+        if (descriptors[i].fd == loop.m_epoll)
+            own = &descriptors[i];
+        else
+            other = &descriptors[i];
+        descriptors[i].revents = 0;
+    }
+    // Sources of other libraries need the ordinary way; the node itself has none.
+    if (own == nullptr || count != 2 || (other->events & ~G_IO_IN) != 0) {
+        const gint ready = g_poll(descriptors, count, timeout);
+        if (ready > 0 && own != nullptr && own->revents != 0)
+            loop.collect(0);
+        return ready;
+    }
+    loop.watchWakeUp(other->fd);
+    const int collected = loop.collect(timeout);
+    if (collected < 0)
+        return collected;
+    gint ready = 0;
+    for (PendingEvent &event : loop.m_pending) {
+        if (event.handler != nullptr)
+            continue;
+        other->revents = G_IO_IN;
+        ready = 1;
+    }
+    if (!loop.m_pending.empty()) {
+        own->revents = G_IO_IN;
+        ++ready;
+    }
+    return ready;
+}
+
+void EpollLoop::watchWakeUp(int descriptor)
+{
+    if (m_wakeUp == descriptor)
+        return;
+    epoll_event event{};
+    event.events = EPOLLIN;
+    if (epoll_ctl(m_epoll, EPOLL_CTL_ADD, descriptor, &event) == 0 || errno == EEXIST)
+        m_wakeUp = descriptor;
+}
+
+int EpollLoop::collect(int timeout)
+{
+    std::array<epoll_event, MaxEventsPerRound> events;
+    const int count = epoll_wait(m_epoll, events.data(), MaxEventsPerRound, timeout);
+    if (count < 0)
+        return count;
+    for (int i = 0; i < count; ++i) {
+        m_pending.push_back(PendingEvent{static_cast<DescriptorHandler *>(events[i].data.ptr),
+                                         events[i].events});
+    }
+    return count;
+}
+
+int EpollLoop::untilNextTimer()
+{
+    if (!m_deferred.empty())
+        return 0;
+    if (m_queue.empty())
+        return -1;
+    const SteadyTime now = std::chrono::steady_clock::now();
+    const SteadyTime due = m_queue.begin()->first.first;
+    if (due <= now)
+        return 0;
+    const auto wait = std::chrono::ceil<std::chrono::milliseconds>(due - now);
+    return static_cast<int>(std::min(wait, LongestWait).count());
+}
+
+gboolean EpollLoop::prepare(GSource *source, gint *timeout)
+{
+    EpollLoop *loop = reinterpret_cast<LoopSource *>(source)->loop;
+    *timeout = loop->untilNextTimer();
+    return *timeout == 0 || !loop->m_pending.empty();
+}
+
+gboolean EpollLoop::check(GSource *source)
+{
+    EpollLoop *loop = reinterpret_cast<LoopSource *>(source)->loop;
+    return !loop->m_pending.empty() || loop->untilNextTimer() == 0;
+}
+
+gboolean EpollLoop::dispatch(GSource *source, GSourceFunc, gpointer)
+{
+    EpollLoop *loop = reinterpret_cast<LoopSource *>(source)->loop;
+    loop->m_now = std::chrono::steady_clock::now();
+    loop->runEvents();
+    loop->runTimers();
+    loop->runDeferred();
+    return G_SOURCE_CONTINUE;
+}
+
+void EpollLoop::runEvents()
+{
+    // Handlers may stop watching others, which clears the entries that wait here.
+    for (std::size_t i = 0; i < m_pending.size(); ++i) {
+        const PendingEvent event = m_pending[i];
+        if (event.handler != nullptr)
+            event.handler->descriptorReady(event.events);
+    }
+    m_pending.clear();
+}
+
+void EpollLoop::runDeferred()
+{
+    // A deferred callback may defer another one.
+    for (std::size_t i = 0; i < m_deferred.size(); ++i) {
+        const Callback callback = std::move(m_deferred[i]);
+        callback();
+    }
+    m_deferred.clear();
+}
+
+void EpollLoop::defer(Callback callback)
+{
+    m_deferred.push_back(std::move(callback));
+}
+
+void EpollLoop::runTimers()
+{
+    const SteadyTime now = std::chrono::steady_clock::now();
+    m_now = now;
+    while (!m_queue.empty() && m_queue.begin()->first.first <= now)
+        fire(m_queue.begin()->second);
+}
+
+void EpollLoop::fire(std::uint64_t id)
+{
+    m_queue.erase(m_queue.begin());
+    const auto found = m_subscriptions.find(id);
+    if (found->second.period.count() == 0) {
+        const Callback callback = std::move(found->second.callback);
+        m_subscriptions.erase(found);
+        callback();
+        return;
+    }
+    found->second.due = m_now + found->second.period;
+    m_queue.emplace(std::pair(found->second.due, id), id);
+    // The callback may stop its own timer, so it runs from a copy.
+    const Callback callback = found->second.callback;
+    callback();
+}
+
+void EpollLoop::watch(int descriptor, std::uint32_t events, DescriptorHandler &handler)
+{
+    epoll_event event{};
+    event.events = events;
+    event.data.ptr = &handler;
+    epoll_ctl(m_epoll, EPOLL_CTL_ADD, descriptor, &event);
+}
+
+void EpollLoop::rewatch(int descriptor, std::uint32_t events, DescriptorHandler &handler)
+{
+    epoll_event event{};
+    event.events = events;
+    event.data.ptr = &handler;
+    epoll_ctl(m_epoll, EPOLL_CTL_MOD, descriptor, &event);
+}
+
+void EpollLoop::unwatch(int descriptor, DescriptorHandler &handler)
+{
+    epoll_ctl(m_epoll, EPOLL_CTL_DEL, descriptor, nullptr);
+    for (PendingEvent &event : m_pending) {
+        if (event.handler == &handler)
+            event = PendingEvent{};
+    }
+}
+
+WallTime EpollLoop::wallNow() const
+{
+    return std::chrono::system_clock::now();
+}
+
+TimerId EpollLoop::startOnce(std::chrono::milliseconds delay, Callback callback)
+{
+    return start(delay, std::chrono::milliseconds(0), std::move(callback));
+}
+
+TimerId EpollLoop::startPeriodic(std::chrono::milliseconds period, Callback callback)
+{
+    return start(period, std::max(period, std::chrono::milliseconds(1)), std::move(callback));
+}
+
+TimerId EpollLoop::start(std::chrono::milliseconds delay, std::chrono::milliseconds period,
+                         Callback callback)
+{
+    const std::uint64_t id = ++m_lastTimer;
+    const SteadyTime due = m_now + std::max(delay, std::chrono::milliseconds(0));
+    m_subscriptions.emplace(id, Subscription{due, period, std::move(callback)});
+    m_queue.emplace(std::pair(due, id), id);
+    return static_cast<TimerId>(id);
+}
+
+void EpollLoop::stop(TimerId id)
+{
+    const auto found = m_subscriptions.find(static_cast<std::uint64_t>(id));
+    if (found == m_subscriptions.end())
+        return;
+    m_queue.erase(std::pair(found->second.due, found->first));
+    m_subscriptions.erase(found);
+}
+
+} // namespace jacinthshift
--- /dev/null
+++ b/drivers/epoll/epoll_loop.h
@@ -0,0 +1,104 @@
+#ifndef DRIVERS_EPOLL_EPOLL_LOOP_H
+#define DRIVERS_EPOLL_EPOLL_LOOP_H
+
+#include <cstdint>
+#include <map>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include <glib.h>
+
+#include "drivers/glib/glib_source.h"
+#include "servers/timer_service.h"
+
+namespace jacinthshift {
+
+/** Learns when a file descriptor is ready. */
+class DescriptorHandler
+{
+public:
+    virtual ~DescriptorHandler() = default;
+
+    /** Called with the epoll event bits. */
+    virtual void descriptorReady(std::uint32_t events) = 0;
+};
+
+/**
+ * One GLib source that watches all sockets through epoll and keeps all timers in one ordered map.
+ *
+ * GLib writes to its wake-up descriptor whenever a source is attached, removed or re-armed while
+ * the loop runs. With a single source neither a connection nor a timer touches the main context, so
+ * a request on an open connection costs only its own reads and writes.
+ */
+class EpollLoop final : public TimerService
+{
+    struct PendingEvent
+    {
+        DescriptorHandler *handler = nullptr;
+        std::uint32_t events = 0;
+    };
+    struct Subscription
+    {
+        SteadyTime due;
+        std::chrono::milliseconds period{0}; ///< Zero for a timer that fires once.
+        Callback callback;
+    };
+    struct LoopSource;
+
+    int m_epoll = -1;
+    int m_wakeUp = -1; ///< The main context's own descriptor.
+    LoopSource *m_source = nullptr;
+    std::vector<PendingEvent> m_pending;
+    std::map<std::pair<SteadyTime, std::uint64_t>, std::uint64_t> m_queue;
+    std::unordered_map<std::uint64_t, Subscription> m_subscriptions;
+    std::vector<Callback> m_deferred;
+    std::uint64_t m_lastTimer = 0;
+    SteadyTime m_now;
+
+    EpollLoop();
+
+    static gint poll(GPollFD *descriptors, guint count, gint timeout);
+    static gboolean prepare(GSource *source, gint *timeout);
+    static gboolean check(GSource *source);
+    static gboolean dispatch(GSource *source, GSourceFunc callback, gpointer data);
+
+    void watchWakeUp(int descriptor);
+    int collect(int timeout);
+    int untilNextTimer();
+    TimerId start(std::chrono::milliseconds delay, std::chrono::milliseconds period,
+                  Callback callback);
+    void fire(std::uint64_t id);
+    void runTimers();
+    void runEvents();
+    void runDeferred();
+
+public:
+    EpollLoop(const EpollLoop &) = delete;
+    EpollLoop &operator=(const EpollLoop &) = delete;
+    ~EpollLoop() override;
+
+    /** Returns the loop of the default main context. */
+    static EpollLoop &instance();
+
+    /** Starts to watch a descriptor for EPOLL bits. */
+    void watch(int descriptor, std::uint32_t events, DescriptorHandler &handler);
+    /** Changes the bits of a watched descriptor. */
+    void rewatch(int descriptor, std::uint32_t events, DescriptorHandler &handler);
+    /** Stops watching; events that wait for the handler are dropped. */
+    void unwatch(int descriptor, DescriptorHandler &handler);
+
+    /** Calls back at the end of the present round, or at the next one if none runs. */
+    void defer(Callback callback);
+
+    /** Returns the time at which the present round of events began. */
+    SteadyTime now() const override { return m_now; }
+    WallTime wallNow() const override;
+    TimerId startOnce(std::chrono::milliseconds delay, Callback callback) override;
+    TimerId startPeriodic(std::chrono::milliseconds period, Callback callback) override;
+    void stop(TimerId id) override;
+};
+
+} // namespace jacinthshift
+
+#endif // DRIVERS_EPOLL_EPOLL_LOOP_H
--- a/drivers/tcp/tcp_socket.cpp
+++ b/drivers/tcp/tcp_socket.cpp
@@ -1,111 +1,179 @@
 #include "drivers/tcp/tcp_socket.h"
 
+#include <array>
+#include <cerrno>
+
+#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 namespace jacinthshift {
 
 namespace {
 
-SocketStep stepFromError(GError *error)
+// A VM without power or behind a partition answers nothing; the kernel gives such a connection up
+// after this time instead of after minutes.
+constexpr unsigned UserTimeoutMilliseconds = 5'000;
+
+SocketStep stepFromErrno()
 {
-    const GErrorPointer owned(error);
-    return g_error_matches(error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK) ? SocketStep::WouldBlock
-                                                                      : SocketStep::Failed;
+    return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR ? SocketStep::WouldBlock
+                                                                     : SocketStep::Failed;
 }
 
-gboolean socketReady(GSocket *, GIOCondition, gpointer data)
+bool fillAddress(const std::string &address, std::uint16_t port, sockaddr_in &result)
 {
-    // The callback may replace itself or destroy the socket, so it runs from a copy.
-    const std::function<void()> ready = *static_cast<std::function<void()> *>(data);
-    ready();
-    return G_SOURCE_CONTINUE;
+    result = sockaddr_in{};
+    result.sin_family = AF_INET;
+    result.sin_port = htons(port);
+    return inet_pton(AF_INET, address.c_str(), &result.sin_addr) == 1;
+}
+
+void setNoDelay(int descriptor)
+{
+    const int on = 1;
+    setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
 }
 
 } // namespace
 
 void TcpSocket::adopt(GObjectPointer<GSocket> socket)
 {
-    m_socket = std::move(socket);
-    g_socket_set_blocking(m_socket.get(), FALSE);
-    g_socket_set_option(m_socket.get(), IPPROTO_TCP, TCP_NODELAY, 1, nullptr);
+    close();
+    m_owner = std::move(socket);
+    g_socket_set_blocking(m_owner.get(), FALSE);
+    m_descriptor = g_socket_get_fd(m_owner.get());
+    setNoDelay(m_descriptor);
+}
+
+void TcpSocket::adopt(int descriptor)
+{
+    close();
+    m_descriptor = descriptor;
+    setNoDelay(m_descriptor);
 }
 
 bool TcpSocket::connect(const Endpoint &server, const std::string &localAddress)
 {
-    const GObjectPointer<GSocketAddress> remote(
-            g_inet_socket_address_new_from_string(server.address.c_str(), server.port));
-    if (remote == nullptr)
+    close();
+    sockaddr_in remote;
+    if (!fillAddress(server.address, server.port, remote))
         return false;
-    GObjectPointer<GSocket> socket(g_socket_new(g_socket_address_get_family(remote.get()),
-                                                G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP,
-                                                nullptr));
-    if (socket == nullptr)
+    m_descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    if (m_descriptor < 0)
         return false;
-    adopt(std::move(socket));
+    setNoDelay(m_descriptor);
+    setsockopt(m_descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &UserTimeoutMilliseconds,
+               sizeof UserTimeoutMilliseconds);
     if (!localAddress.empty()) {
-        const GObjectPointer<GSocketAddress> local(
-                g_inet_socket_address_new_from_string(localAddress.c_str(), 0));
-        if (local == nullptr || !g_socket_bind(m_socket.get(), local.get(), FALSE, nullptr))
+        sockaddr_in local;
+        if (!fillAddress(localAddress, 0, local)
+            || bind(m_descriptor, reinterpret_cast<const sockaddr *>(&local), sizeof local) != 0)
             return false;
     }
-    GError *error = nullptr;
-    if (g_socket_connect(m_socket.get(), remote.get(), nullptr, &error))
-        return true;
-    const GErrorPointer owned(error);
-    return g_error_matches(error, G_IO_ERROR, G_IO_ERROR_PENDING);
+    const int outcome =
+            ::connect(m_descriptor, reinterpret_cast<const sockaddr *>(&remote), sizeof remote);
+    return outcome == 0 || errno == EINPROGRESS;
 }
 
 bool TcpSocket::finishConnect()
 {
-    return g_socket_check_connect_result(m_socket.get(), nullptr);
+    int error = 0;
+    socklen_t size = sizeof error;
+    return getsockopt(m_descriptor, SOL_SOCKET, SO_ERROR, &error, &size) == 0 && error == 0;
+}
+
+void TcpSocket::close()
+{
+    if (m_descriptor < 0)
+        return;
+    if (m_watched != 0)
+        EpollLoop::instance().unwatch(m_descriptor, *this);
+    m_watched = 0;
+    m_ready = nullptr;
+    if (m_owner == nullptr)
+        ::close(m_descriptor);
+    m_owner.reset();
+    m_descriptor = -1;
 }
 
 SocketStep TcpSocket::write(const char *data, std::size_t size, std::size_t &written)
 {
-    GError *error = nullptr;
-    const gssize count = g_socket_send(m_socket.get(), data, size, nullptr, &error);
+    const ssize_t count = send(m_descriptor, data, size, MSG_NOSIGNAL);
     if (count < 0)
-        return stepFromError(error);
+        return stepFromErrno();
     written += static_cast<std::size_t>(count);
     return SocketStep::Progress;
 }
 
 SocketStep TcpSocket::read(char *buffer, std::size_t size, std::size_t &received)
 {
-    GError *error = nullptr;
-    const gssize count = g_socket_receive(m_socket.get(), buffer, size, nullptr, &error);
+    const ssize_t count = recv(m_descriptor, buffer, size, 0);
     if (count < 0)
-        return stepFromError(error);
+        return stepFromErrno();
     received = static_cast<std::size_t>(count);
     return count == 0 ? SocketStep::Ended : SocketStep::Progress;
 }
 
-void TcpSocket::wait(GIOCondition condition, std::function<void()> ready)
+void TcpSocket::wait(std::uint32_t events, std::function<void()> ready)
 {
-    m_source.reset();
     m_ready = std::move(ready);
-    GSource *source = g_socket_create_source(m_socket.get(), condition, nullptr);
-    g_source_set_callback(source, G_SOURCE_FUNC(socketReady), &m_ready, nullptr);
-    m_source = GlibSource(source);
+    if (m_watched == events)
+        return;
+    if (m_watched == 0)
+        EpollLoop::instance().watch(m_descriptor, events, *this);
+    else
+        EpollLoop::instance().rewatch(m_descriptor, events, *this);
+    m_watched = events;
+}
+
+void TcpSocket::waitReadable(std::function<void()> ready)
+{
+    wait(EPOLLIN, std::move(ready));
+}
+
+void TcpSocket::waitWritable(std::function<void()> ready)
+{
+    wait(EPOLLOUT, std::move(ready));
+}
+
+void TcpSocket::waitFor(bool writable, std::function<void()> ready)
+{
+    wait(writable ? EPOLLIN | EPOLLOUT : EPOLLIN, std::move(ready));
+}
+
+void TcpSocket::descriptorReady(std::uint32_t)
+{
+    if (m_ready == nullptr) {
+        EpollLoop::instance().unwatch(m_descriptor, *this);
+        m_watched = 0;
+        return;
+    }
+    // The callback may replace itself or destroy the socket, so it runs from a copy.
+    const std::function<void()> ready = m_ready;
+    ready();
 }
 
 bool TcpSocket::isQuiet() const
 {
-    return g_socket_condition_check(m_socket.get(), G_IO_IN) == 0;
+    pollfd descriptor{m_descriptor, POLLIN, 0};
+    return poll(&descriptor, 1, 0) == 0;
 }
 
 std::string TcpSocket::remoteAddress() const
 {
-    const GObjectPointer<GSocketAddress> remote(
-            g_socket_get_remote_address(m_socket.get(), nullptr));
-    if (remote == nullptr || !G_IS_INET_SOCKET_ADDRESS(remote.get()))
+    sockaddr_in remote{};
+    socklen_t size = sizeof remote;
+    if (getpeername(m_descriptor, reinterpret_cast<sockaddr *>(&remote), &size) != 0
+        || remote.sin_family != AF_INET)
         return {};
-    GInetAddress *address = g_inet_socket_address_get_address(G_INET_SOCKET_ADDRESS(remote.get()));
-    char *text = g_inet_address_to_string(address);
-    std::string result(text);
-    g_free(text);
-    return result;
+    std::array<char, INET_ADDRSTRLEN> text{};
+    inet_ntop(AF_INET, &remote.sin_addr, text.data(), text.size());
+    return text.data();
 }
 
 } // namespace jacinthshift
--- a/drivers/websocket/websocket_link_transport.cpp
+++ b/drivers/websocket/websocket_link_transport.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <unordered_map>
 
+#include "drivers/tcp/tcp_listener.h"
 #include "drivers/tcp/tcp_socket.h"
 #include "drivers/websocket/websocket_session.h"
 
@@ -11,7 +12,6 @@
 namespace {
 
 constexpr std::size_t ReadBytes = 64 * 1024;
-constexpr int ListenBacklog = 512;
 
 /** One connection: the socket below and the WebSocket session above it. */
 struct Channel
@@ -24,6 +24,7 @@
     std::unique_ptr<WebsocketSession> session;
     std::string output; ///< Bytes that wait for the socket.
     bool waitingToWrite = false;
+    bool flushDue = false;
     bool connected = false;
 };
 
@@ -35,8 +36,7 @@
 
     LinkTransportOptions options;
     LinkObserver *observer = nullptr;
-    GObjectPointer<GSocket> listener;
-    GlibSource listenerSource;
+    TcpListener listener;
     std::unordered_map<LinkId, ChannelPointer> channels;
     std::uint64_t lastId = 0;
 
@@ -87,8 +87,22 @@
             markDead(channel);
             return;
         }
-        if (channel->connected && !channel->waitingToWrite)
-            flush(channel);
+        if (channel->connected && !channel->waitingToWrite && !channel->flushDue)
+            flushAtEndOfRound(channel);
+    }
+
+    /** What one round of the loop produces for a peer goes out in one write. */
+    void flushAtEndOfRound(const ChannelPointer &channel)
+    {
+        channel->flushDue = true;
+        const std::weak_ptr<Channel> weak = channel;
+        EpollLoop::instance().defer([this, weak] {
+            const ChannelPointer due = weak.lock();
+            if (due == nullptr || due->dead)
+                return;
+            due->flushDue = false;
+            flush(due);
+        });
     }
 
     void flush(const ChannelPointer &channel)
@@ -164,12 +178,15 @@
         channel->session->received(buffer.data(), received);
     }
 
-    void accepted(GObjectPointer<GSocket> socket)
+    void accepted(int descriptor)
     {
-        if (channels.size() >= options.maxLinks)
+        if (channels.size() >= options.maxLinks) {
+            TcpSocket refused;
+            refused.adopt(descriptor);
             return;
+        }
         const ChannelPointer channel = addChannel(false);
-        channel->socket.adopt(std::move(socket));
+        channel->socket.adopt(descriptor);
         channel->connected = true;
         channel->session = WebsocketSession::accept(sessionEvents(channel), options.maxFrameBytes);
         waitForSocket(channel);
@@ -184,25 +201,11 @@
         channel->dead = true;
         channel->open = false;
         channel->socket.stopWaiting();
-        struct Burial
-        {
-            std::weak_ptr<State> state;
-            LinkId id;
-        };
-        GSource *idle = g_idle_source_new();
-        g_source_set_priority(idle, G_PRIORITY_DEFAULT);
-        g_source_set_callback(
-                idle,
-                [](gpointer data) -> gboolean {
-                    const Burial *burial = static_cast<Burial *>(data);
-                    if (const std::shared_ptr<State> state = burial->state.lock())
-                        state->bury(burial->id);
-                    return G_SOURCE_REMOVE;
-                },
-                new Burial{weak_from_this(), channel->id},
-                [](gpointer data) { delete static_cast<Burial *>(data); });
-        g_source_attach(idle, nullptr);
-        g_source_unref(idle);
+        const std::weak_ptr<State> weak = weak_from_this();
+        EpollLoop::instance().startOnce(std::chrono::milliseconds(0), [weak, id = channel->id] {
+            if (const std::shared_ptr<State> state = weak.lock())
+                state->bury(id);
+        });
     }
 
     void bury(LinkId id)
@@ -214,38 +217,9 @@
         observer->linkClosed(id);
     }
 
-    static gboolean connectionWaits(GSocket *listener, GIOCondition, gpointer data)
-    {
-        State *self = static_cast<State *>(data);
-        GObjectPointer<GSocket> socket(g_socket_accept(listener, nullptr, nullptr));
-        if (socket != nullptr)
-            self->accepted(std::move(socket));
-        return G_SOURCE_CONTINUE;
-    }
-
     absl::Status listen()
     {
-        const GObjectPointer<GSocketAddress> address(g_inet_socket_address_new_from_string(
-                options.listen.address.c_str(), options.listen.port));
-        if (address == nullptr)
-            return absl::InvalidArgumentError("cannot listen on " + options.listen.text());
-        GError *error = nullptr;
-        listener.reset(g_socket_new(g_socket_address_get_family(address.get()),
-                                    G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, &error));
-        if (listener != nullptr) {
-            g_socket_set_blocking(listener.get(), FALSE);
-            g_socket_set_listen_backlog(listener.get(), ListenBacklog);
-            if (g_socket_bind(listener.get(), address.get(), TRUE, &error)
-                && g_socket_listen(listener.get(), &error)) {
-                GSource *source = g_socket_create_source(listener.get(), G_IO_IN, nullptr);
-                g_source_set_callback(source, G_SOURCE_FUNC(connectionWaits), this, nullptr);
-                listenerSource = GlibSource(source);
-                return absl::OkStatus();
-            }
-        }
-        const GErrorPointer owned(error);
-        return absl::UnavailableError("cannot listen on " + options.listen.text() + ": "
-                                      + owned->message);
+        return listener.listen(options.listen, [this](int descriptor) { accepted(descriptor); });
     }
 };
 
--- /dev/null
+++ b/modules/feed/operator_table.cpp
@@ -0,0 +1,55 @@
+#include "modules/feed/operator_table.h"
+
+#include <algorithm>
+#include <set>
+
+namespace jacinthshift {
+
+void OperatorTable::merge(const KeyedPage &page)
+{
+    std::vector<KeyedRecord> news;
+    for (const KeyedRecord &record : page.records) {
+        const auto known = m_records.find(record.key);
+        if (known != m_records.end() && known->second.offset >= record.offset)
+            continue;
+        m_records[record.key] = record;
+        news.push_back(record);
+    }
+    m_end = std::max(m_end, page.end);
+    if (m_listener == nullptr)
+        return;
+    for (const KeyedRecord &record : news) {
+        // Only the newest record of a key matters when one page brings several.
+        if (m_records[record.key].offset == record.offset)
+            m_listener(record);
+    }
+}
+
+void OperatorTable::replace(const KeyedPage &page)
+{
+    if (page.end < m_end)
+        return;
+    std::set<std::string> present;
+    for (const KeyedRecord &record : page.records)
+        present.insert(record.key);
+    KeyedPage whole = page;
+    for (const auto &[key, record] : m_records) {
+        if (!present.contains(key) && !record.isRemoval() && page.end > record.offset)
+            whole.records.push_back(KeyedRecord{.key = key, .offset = page.end - 1});
+    }
+    merge(whole);
+}
+
+KeyedPage OperatorTable::since(std::uint64_t offset) const
+{
+    KeyedPage page{.end = m_end};
+    for (const auto &[key, record] : m_records) {
+        if (record.offset >= offset)
+            page.records.push_back(record);
+    }
+    std::sort(page.records.begin(), page.records.end(),
+              [](const KeyedRecord &a, const KeyedRecord &b) { return a.offset < b.offset; });
+    return page;
+}
+
+} // namespace jacinthshift
--- /dev/null
+++ b/modules/feed/table_sync.h
@@ -0,0 +1,57 @@
+#ifndef MODULES_FEED_TABLE_SYNC_H
+#define MODULES_FEED_TABLE_SYNC_H
+
+#include <string>
+
+#include "modules/feed/operator_table.h"
+#include "modules/feed/table_follower.h"
+#include "modules/fleet/fleet_network.h"
+
+namespace jacinthshift {
+
+struct TableSyncOptions
+{
+    /** Nodes of a failure domain that read the log for the others. */
+    std::size_t readersPerDomain = 2;
+    std::chrono::milliseconds checkPeriod{100};
+    /** A fetch that has no answer by then is sent to another node. */
+    std::chrono::milliseconds fetchTimeout{300};
+    /** Nodes of other failure domains are asked only after this time, as bytes there cost more. */
+    std::chrono::milliseconds otherDomainDelay{150};
+    /** Before this time after the start a node reads the log itself, whoever else does. */
+    std::chrono::milliseconds settleTime{3'000};
+};
+
+/**
+ * Spreads the operator's table among the nodes: a few of each failure domain read the log, the others
+ * fetch from them. Whoever is behind any other node fetches, so a node without the log keeps up.
+ */
+class TableSync final : public FleetObserver
+{
+    TableSyncOptions m_options;
+    FleetNetwork &m_network;
+    TimerService &m_timers;
+    OperatorTable &m_table;
+    TableFollower &m_follower;
+    SteadyTime m_startedAt;
+    SteadyTime m_behindSince;
+    SteadyTime m_fetchedAt;
+    std::string m_fetchedFrom;
+    bool m_fetching = false;
+    Timer m_check;
+
+    void check();
+    void fetchIfBehind();
+    bool shouldRead() const;
+
+public:
+    TableSync(const TableSyncOptions &options, FleetNetwork &network, TimerService &timers,
+              OperatorTable &table, TableFollower &follower);
+
+    void fleetMessage(const std::string &node, const FleetMessage &message) override;
+    void fleetLinksChanged(const std::string &node) override;
+};
+
+} // namespace jacinthshift
+
+#endif // MODULES_FEED_TABLE_SYNC_H
--- /dev/null
+++ b/modules/fleet/fleet_network.cpp
@@ -0,0 +1,285 @@
+#include "modules/fleet/fleet_network.h"
+
+#include <algorithm>
+
+#include "core/logger.h"
+#include "core/text.h"
+#include "modules/fleet/message_codec.h"
+
+namespace jacinthshift {
+
+namespace {
+
+constexpr std::chrono::milliseconds TickPeriod{100};
+
+} // namespace
+
+FleetNetwork::FleetNetwork(const FleetNetworkOptions &options, LinkTransport &transport,
+                           TimerService &timers)
+    : m_options(options), m_transport(transport), m_timers(timers), m_random(options.seed)
+{
+}
+
+absl::Status FleetNetwork::start()
+{
+    const absl::Status status = m_transport.start(*this);
+    if (!status.ok())
+        return status;
+    m_nextHeartbeat = m_timers.now() + heartbeatPeriod();
+    m_tick = Timer(m_timers, m_timers.startPeriodic(TickPeriod, [this] { tick(); }));
+    return absl::OkStatus();
+}
+
+std::chrono::milliseconds FleetNetwork::heartbeatPeriod() const
+{
+    const std::size_t links = std::max(m_links.size(), m_options.linksAtBaseRate);
+    const std::chrono::milliseconds stretched = m_options.heartbeat
+                                                * static_cast<std::int64_t>(links)
+                                                / static_cast<std::int64_t>(m_options.linksAtBaseRate);
+    return std::min(stretched, m_options.longestHeartbeat);
+}
+
+std::chrono::milliseconds FleetNetwork::silenceLimit() const
+{
+    return heartbeatPeriod() * m_options.heartbeatsMissed;
+}
+
+GreetingMessage FleetNetwork::greeting() const
+{
+    return GreetingMessage{.self = m_options.self, .contacts = contacts()};
+}
+
+std::vector<NodeContact> FleetNetwork::contacts() const
+{
+    std::vector<NodeContact> known;
+    for (const auto &[node, peer] : m_peers) {
+        if (!peer.links.empty())
+            known.push_back(peer.contact);
+    }
+    return known;
+}
+
+const FleetPeer *FleetNetwork::peer(const std::string &node) const
+{
+    const auto found = m_peers.find(node);
+    return found == m_peers.end() ? nullptr : &found->second;
+}
+
+void FleetNetwork::addContacts(const std::vector<NodeContact> &contacts)
+{
+    for (const NodeContact &contact : contacts)
+        learn(contact);
+}
+
+void FleetNetwork::addSeed(const Endpoint &links)
+{
+    const bool known = std::any_of(m_peers.begin(), m_peers.end(), [&links](const auto &entry) {
+        return entry.second.contact.links == links;
+    });
+    if (!known && links != m_options.self.links)
+        m_transport.connect(links);
+}
+
+void FleetNetwork::learn(const NodeContact &contact)
+{
+    if (contact.node.empty() || contact.node == m_options.self.node
+        || contact.links == m_options.self.links)
+        return;
+    const auto [entry, isNew] = m_peers.try_emplace(contact.node);
+    FleetPeer &peer = entry->second;
+    if (!isNew && contact.incarnation <= peer.contact.incarnation)
+        return;
+    peer.contact = contact;
+    peer.redial = m_options.firstRedial;
+    peer.nextDial = m_timers.now();
+    peer.reachableAt = m_timers.now();
+    if (m_options.self.node > contact.node)
+        peer.nextDial += m_options.politeDelay;
+    else
+        maintain(peer);
+}
+
+void FleetNetwork::tick()
+{
+    for (auto entry = m_peers.begin(); entry != m_peers.end();) {
+        FleetPeer &peer = entry->second;
+        maintain(peer);
+        const bool lost = peer.links.empty() && peer.dialing == LinkId::None
+                          && m_timers.now() - peer.reachableAt > m_options.forgetAfter;
+        entry = lost ? m_peers.erase(entry) : std::next(entry);
+    }
+    if (m_timers.now() >= m_nextHeartbeat)
+        sendStatus();
+}
+
+void FleetNetwork::maintain(FleetPeer &peer)
+{
+    const SteadyTime now = m_timers.now();
+    if (peer.dialing != LinkId::None && now - peer.dialingSince > m_options.dialTimeout)
+        m_transport.close(peer.dialing);
+    if (!peer.links.empty()) {
+        peer.reachableAt = now;
+        const SteadyTime::duration silence = now - peer.heardAt;
+        const bool wasSilent = peer.silent;
+        peer.silent = silence > silenceLimit();
+        if (peer.silent && !wasSilent) {
+            logEvent(Event::PeerSilent, {{"peer", peer.contact.node},
+                                         {"silent_ms",
+                                          std::chrono::duration_cast<std::chrono::milliseconds>(
+                                                  silence)
+                                                  .count()}});
+            peer.nextDial = now;
+        }
+        if (silence > m_options.closeAfter) {
+            for (const LinkId link : std::vector<LinkId>(peer.links))
+                m_transport.close(link);
+        }
+    }
+    const bool wanted = peer.links.empty() || peer.silent;
+    if (wanted && peer.dialing == LinkId::None && now >= peer.nextDial)
+        dial(peer);
+}
+
+void FleetNetwork::dial(FleetPeer &peer)
+{
+    peer.dialing = m_transport.connect(peer.contact.links);
+    peer.dialingSince = m_timers.now();
+    peer.nextDial = m_timers.now() + peer.redial + m_random.jitter(peer.redial);
+    peer.redial = std::min(peer.redial * 2, m_options.longestRedial);
+    m_links[peer.dialing] = Link{.outgoing = true};
+}
+
+void FleetNetwork::setStatus(const StatusMessage &status, bool sendNow)
+{
+    m_status = status;
+    if (sendNow)
+        sendStatus();
+}
+
+void FleetNetwork::sendStatus()
+{
+    m_nextHeartbeat = m_timers.now() + heartbeatPeriod();
+    broadcast(m_status);
+}
+
+bool FleetNetwork::send(const std::string &node, const FleetMessage &message)
+{
+    const auto found = m_peers.find(node);
+    if (found == m_peers.end() || found->second.links.empty())
+        return false;
+    return m_transport.send(found->second.links.back(), encodeFleetMessage(message));
+}
+
+void FleetNetwork::broadcast(const FleetMessage &message)
+{
+    const std::string frame = encodeFleetMessage(message);
+    for (const auto &[node, peer] : m_peers) {
+        if (!peer.links.empty())
+            m_transport.send(peer.links.back(), frame);
+    }
+}
+
+void FleetNetwork::linkOpened(LinkId link, bool outgoing)
+{
+    Link &known = m_links[link];
+    known.outgoing = outgoing;
+    known.openedAt = m_timers.now();
+    m_transport.send(link, encodeFleetMessage(greeting()));
+}
+
+void FleetNetwork::linkFrame(LinkId link, const std::string &frame)
+{
+    const absl::StatusOr<FleetMessage> message = decodeFleetMessage(frame);
+    if (!message.ok()) {
+        logEvent(Event::FrameRefused, {{"peer", m_links[link].node},
+                                       {"reason", std::string(message.status().message())}});
+        m_transport.close(link);
+        return;
+    }
+    if (const GreetingMessage *greeting = std::get_if<GreetingMessage>(&*message)) {
+        greeted(link, *greeting);
+        return;
+    }
+    const std::string node = m_links[link].node;
+    const auto found = m_peers.find(node);
+    if (node.empty() || found == m_peers.end()) {
+        m_transport.close(link);
+        return;
+    }
+    FleetPeer &peer = found->second;
+    peer.heardAt = m_timers.now();
+    peer.silent = false;
+    if (const StatusMessage *status = std::get_if<StatusMessage>(&*message)) {
+        peer.status = *status;
+        peer.statusAt = m_timers.now();
+        peer.hasStatus = true;
+    } else if (const WorkResultMessage *result = std::get_if<WorkResultMessage>(&*message)) {
+        peer.status.backend = result->backend;
+        peer.statusAt = m_timers.now();
+    }
+    for (FleetObserver *observer : m_observers)
+        observer->fleetMessage(node, *message);
+}
+
+void FleetNetwork::greeted(LinkId link, const GreetingMessage &greeting)
+{
+    const NodeContact &contact = greeting.self;
+    if (greeting.protocol != GreetingMessage::Protocol || contact.node.empty()
+        || contact.node == m_options.self.node) {
+        m_transport.close(link);
+        return;
+    }
+    FleetPeer &peer = m_peers[contact.node];
+    if (peer.contact.incarnation > contact.incarnation) {
+        // A greeting of a process that has been replaced since.
+        m_transport.close(link);
+        return;
+    }
+    if (contact.incarnation > peer.contact.incarnation) {
+        for (const LinkId old : std::vector<LinkId>(peer.links))
+            m_transport.close(old);
+        peer.hasStatus = false;
+        peer.status = StatusMessage();
+    }
+    peer.contact = contact;
+    peer.redial = m_options.firstRedial;
+    if (peer.dialing == link)
+        peer.dialing = LinkId::None;
+    m_links[link].node = contact.node;
+    if (std::find(peer.links.begin(), peer.links.end(), link) == peer.links.end())
+        peer.links.push_back(link);
+    peer.heardAt = m_timers.now();
+    peer.reachableAt = peer.heardAt;
+    peer.silent = false;
+    logEvent(Event::LinkOpened, {{"peer", contact.node}, {"links", peer.links.size()}});
+    m_transport.send(link, encodeFleetMessage(m_status));
+    addContacts(greeting.contacts);
+    for (FleetObserver *observer : m_observers)
+        observer->fleetLinksChanged(contact.node);
+}
+
+void FleetNetwork::linkClosed(LinkId link)
+{
+    const auto known = m_links.find(link);
+    const std::string node = known == m_links.end() ? std::string() : known->second.node;
+    m_links.erase(link);
+    for (auto &[name, peer] : m_peers) {
+        if (peer.dialing == link)
+            peer.dialing = LinkId::None;
+    }
+    const auto found = m_peers.find(node);
+    if (found == m_peers.end())
+        return;
+    FleetPeer &peer = found->second;
+    const std::size_t before = peer.links.size();
+    std::erase(peer.links, link);
+    if (peer.links.size() == before)
+        return;
+    logEvent(Event::LinkClosed, {{"peer", node}, {"links", peer.links.size()}});
+    // The first dial after a loss waits a random moment, so a herd that returns is not one wave.
+    peer.nextDial = m_timers.now() + m_random.jitter(m_options.firstRedial);
+    for (FleetObserver *observer : m_observers)
+        observer->fleetLinksChanged(node);
+}
+
+} // namespace jacinthshift
--- /dev/null
+++ b/modules/fleet/message_codec.cpp
@@ -0,0 +1,385 @@
+#include "modules/fleet/message_codec.h"
+
+#include <nlohmann/json.hpp>
+
+#include "core/text.h"
+
+namespace jacinthshift {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int MaxNesting = 8;
+
+json bytes(const std::string &text)
+{
+    return json::binary(std::vector<std::uint8_t>(text.begin(), text.end()));
+}
+
+std::string text(const json &source)
+{
+    const json::binary_t &binary = source.get_binary();
+    return {binary.begin(), binary.end()};
+}
+
+std::chrono::milliseconds duration(const json &source)
+{
+    return std::chrono::milliseconds(source.get<std::int64_t>());
+}
+
+/** An enumerator from a peer must be one that this program knows. */
+template <typename Enum>
+Enum enumerator(const json &source, Enum last)
+{
+    const int number = source.get<int>();
+    if (number < 0 || number > static_cast<int>(last))
+        throw json::out_of_range::create(401, "unknown enumerator", &source);
+    return static_cast<Enum>(number);
+}
+
+// All headers travel as one byte string of "name: value" lines: one allocation instead of two each.
+json packHeaders(const std::vector<HttpHeader> &headers)
+{
+    std::string packed;
+    for (const HttpHeader &header : headers)
+        packed.append(header.name).append(":").append(header.value).append("\n");
+    return bytes(packed);
+}
+
+std::vector<HttpHeader> unpackHeaders(const json &source)
+{
+    const json::binary_t &binary = source.get_binary();
+    const std::string_view packed(reinterpret_cast<const char *>(binary.data()), binary.size());
+    std::vector<HttpHeader> headers;
+    std::size_t begin = 0;
+    while (begin < packed.size()) {
+        const std::size_t end = packed.find('\n', begin);
+        const std::size_t colon = packed.find(':', begin);
+        if (end == std::string_view::npos || colon == std::string_view::npos || colon > end)
+            throw json::other_error::create(501, "malformed headers", &source);
+        headers.push_back(
+                HttpHeader{.name = std::string(packed.substr(begin, colon - begin)),
+                           .value = std::string(packed.substr(colon + 1, end - colon - 1))});
+        begin = end + 1;
+    }
+    return headers;
+}
+
+json encodeContact(const NodeContact &contact)
+{
+    return {contact.node, contact.domain, contact.links.text(), contact.incarnation};
+}
+
+NodeContact decodeContact(const json &source)
+{
+    const absl::StatusOr<Endpoint> links = parseEndpoint(source.at(2).get<std::string>());
+    if (!links.ok())
+        throw json::other_error::create(501, std::string(links.status().message()), &source);
+    return NodeContact{.node = source.at(0),
+                       .domain = source.at(1),
+                       .links = *links,
+                       .incarnation = source.at(3)};
+}
+
+json encodeBackend(const BackendStatus &status)
+{
+    return {static_cast<int>(status.availability),
+            status.id,
+            status.service,
+            status.version,
+            status.limit,
+            status.running,
+            status.queued,
+            status.startsPerSecond,
+            status.serviceTime.count(),
+            status.failuresPerThousand,
+            status.braked};
+}
+
+BackendStatus decodeBackend(const json &source)
+{
+    return BackendStatus{.availability =
+                                 enumerator(source.at(0), BackendAvailability::Draining),
+                         .id = source.at(1),
+                         .service = source.at(2),
+                         .version = source.at(3),
+                         .limit = source.at(4),
+                         .running = source.at(5),
+                         .queued = source.at(6),
+                         .startsPerSecond = source.at(7),
+                         .serviceTime = duration(source.at(8)),
+                         .failuresPerThousand = source.at(9),
+                         .braked = source.at(10)};
+}
+
+json encodePage(const KeyedPage &page)
+{
+    json records = json::array();
+    for (const KeyedRecord &record : page.records)
+        records.push_back({record.key, bytes(record.value), record.offset});
+    return {page.end, records};
+}
+
+KeyedPage decodePage(const json &source)
+{
+    KeyedPage page{.end = source.at(0)};
+    for (const json &record : source.at(1)) {
+        page.records.push_back(KeyedRecord{
+                .key = record.at(0), .value = text(record.at(1)), .offset = record.at(2)});
+    }
+    return page;
+}
+
+json encodeCounts(const ArmEvidence &counts)
+{
+    return {counts.requests, counts.failures, counts.refused, counts.latency};
+}
+
+ArmEvidence decodeCounts(const json &source)
+{
+    ArmEvidence counts;
+    source.at(0).get_to(counts.requests);
+    source.at(1).get_to(counts.failures);
+    source.at(2).get_to(counts.refused);
+    source.at(3).get_to(counts.latency);
+    return counts;
+}
+
+json encode(const GreetingMessage &message)
+{
+    json contacts = json::array();
+    for (const NodeContact &contact : message.contacts)
+        contacts.push_back(encodeContact(contact));
+    return {message.protocol, encodeContact(message.self), contacts};
+}
+
+void decode(const json &source, GreetingMessage &message)
+{
+    source.at(0).get_to(message.protocol);
+    message.self = decodeContact(source.at(1));
+    for (const json &contact : source.at(2))
+        message.contacts.push_back(decodeContact(contact));
+}
+
+json encode(const StatusMessage &message)
+{
+    return {message.tableEnd, message.leaving, message.readsLog, encodeBackend(message.backend)};
+}
+
+void decode(const json &source, StatusMessage &message)
+{
+    source.at(0).get_to(message.tableEnd);
+    source.at(1).get_to(message.leaving);
+    source.at(2).get_to(message.readsLog);
+    message.backend = decodeBackend(source.at(3));
+}
+
+json encode(const WorkCallMessage &message)
+{
+    const WorkRequest &work = message.work;
+    return {message.call,
+            work.request.method,
+            bytes(work.request.target),
+            packHeaders(work.request.headers),
+            bytes(work.request.body),
+            work.route,
+            work.service,
+            work.callerService,
+            work.priority,
+            work.idempotent,
+            work.returning,
+            work.repeat,
+            work.timeLeft.count(),
+            work.targetLeft.count(),
+            work.version};
+}
+
+void decode(const json &source, WorkCallMessage &message)
+{
+    WorkRequest &work = message.work;
+    source.at(0).get_to(message.call);
+    source.at(1).get_to(work.request.method);
+    work.request.target = text(source.at(2));
+    work.request.headers = unpackHeaders(source.at(3));
+    work.request.body = text(source.at(4));
+    source.at(5).get_to(work.route);
+    source.at(6).get_to(work.service);
+    source.at(7).get_to(work.callerService);
+    source.at(8).get_to(work.priority);
+    source.at(9).get_to(work.idempotent);
+    source.at(10).get_to(work.returning);
+    source.at(11).get_to(work.repeat);
+    work.timeLeft = duration(source.at(12));
+    work.targetLeft = duration(source.at(13));
+    source.at(14).get_to(work.version);
+}
+
+json encode(const WorkResultMessage &message)
+{
+    const WorkResult &result = message.result;
+    return {message.call,
+            static_cast<int>(result.verdict),
+            static_cast<int>(result.refusal),
+            result.reachedBackend,
+            result.retryAfter.count(),
+            result.response.status,
+            packHeaders(result.response.headers),
+            bytes(result.response.body),
+            encodeBackend(message.backend)};
+}
+
+void decode(const json &source, WorkResultMessage &message)
+{
+    WorkResult &result = message.result;
+    source.at(0).get_to(message.call);
+    result.verdict = enumerator(source.at(1), Verdict::MayHaveRun);
+    result.refusal = enumerator(source.at(2), WorkRefusal::Suspected);
+    source.at(3).get_to(result.reachedBackend);
+    result.retryAfter = duration(source.at(4));
+    source.at(5).get_to(result.response.status);
+    result.response.headers = unpackHeaders(source.at(6));
+    result.response.body = text(source.at(7));
+    message.backend = decodeBackend(source.at(8));
+}
+
+json encode(const WorkCancelMessage &message)
+{
+    return message.call;
+}
+
+void decode(const json &source, WorkCancelMessage &message)
+{
+    source.get_to(message.call);
+}
+
+json encode(const WorkResumeMessage &message)
+{
+    return message.calls;
+}
+
+void decode(const json &source, WorkResumeMessage &message)
+{
+    source.get_to(message.calls);
+}
+
+json encode(const TableFetchMessage &message)
+{
+    return message.from;
+}
+
+void decode(const json &source, TableFetchMessage &message)
+{
+    source.get_to(message.from);
+}
+
+json encode(const TableNewsMessage &message)
+{
+    return encodePage(message.page);
+}
+
+void decode(const json &source, TableNewsMessage &message)
+{
+    message.page = decodePage(source);
+}
+
+json encode(const VersionEvidenceMessage &message)
+{
+    json routes = json::array();
+    for (const VersionEvidence &evidence : message.routes)
+        routes.push_back({evidence.route, encodeCounts(evidence.counts)});
+    return {message.service, message.version, message.backend, routes};
+}
+
+void decode(const json &source, VersionEvidenceMessage &message)
+{
+    source.at(0).get_to(message.service);
+    source.at(1).get_to(message.version);
+    source.at(2).get_to(message.backend);
+    for (const json &route : source.at(3)) {
+        message.routes.push_back(
+                VersionEvidence{.route = route.at(0), .counts = decodeCounts(route.at(1))});
+    }
+}
+
+json encode(const CrashSuspectMessage &message)
+{
+    return {message.fingerprint, message.backend};
+}
+
+void decode(const json &source, CrashSuspectMessage &message)
+{
+    source.at(0).get_to(message.fingerprint);
+    source.at(1).get_to(message.backend);
+}
+
+json encode(const RolloutProgressMessage &message)
+{
+    return {message.service, message.targetVersion, message.step,
+            static_cast<int>(message.outcome)};
+}
+
+void decode(const json &source, RolloutProgressMessage &message)
+{
+    source.at(0).get_to(message.service);
+    source.at(1).get_to(message.targetVersion);
+    source.at(2).get_to(message.step);
+    message.outcome = enumerator(source.at(3), RolloutOutcome::RolledBack);
+}
+
+/** Reads the fields of the alternative with the given number, which is below the variant's size. */
+template <std::size_t Index = 0>
+FleetMessage decodeAlternative(std::size_t number, const json &fields)
+{
+    if constexpr (Index + 1 < std::variant_size_v<FleetMessage>) {
+        if (number != Index)
+            return decodeAlternative<Index + 1>(number, fields);
+    }
+    std::variant_alternative_t<Index, FleetMessage> message;
+    decode(fields, message);
+    return message;
+}
+
+bool isTooDeep(const json &value, int allowed)
+{
+    if (!value.is_structured())
+        return false;
+    if (allowed == 0)
+        return true;
+    for (const json &element : value) {
+        if (isTooDeep(element, allowed - 1))
+            return true;
+    }
+    return false;
+}
+
+} // namespace
+
+std::string encodeFleetMessage(const FleetMessage &message)
+{
+    const json fields = std::visit([](const auto &alternative) { return encode(alternative); },
+                                   message);
+    json whole = json::array();
+    whole.push_back(message.index());
+    whole.push_back(fields);
+    std::string frame;
+    json::to_cbor(whole, frame);
+    return frame;
+}
+
+absl::StatusOr<FleetMessage> decodeFleetMessage(const std::string &frame)
+{
+    try {
+        const json whole = json::from_cbor(frame);
+        if (isTooDeep(whole, MaxNesting))
+            return absl::InvalidArgumentError("the frame is nested too deeply");
+        const std::size_t number = whole.at(0).get<std::size_t>();
+        if (number >= std::variant_size_v<FleetMessage>)
+            return absl::InvalidArgumentError(joinText("unknown message ", number));
+        return decodeAlternative(number, whole.at(1));
+    } catch (const json::exception &error) {
+        return absl::InvalidArgumentError(joinText("malformed frame: ", error.what()));
+    }
+}
+
+} // namespace jacinthshift
--- /dev/null
+++ b/modules/fleet/messages.cpp
@@ -0,0 +1,15 @@
+#include "modules/fleet/messages.h"
+
+#include <array>
+
+namespace jacinthshift {
+
+std::string_view refusalName(WorkRefusal refusal)
+{
+    static constexpr std::array<std::string_view, 13> Names = {
+            "none",        "no-backend", "full", "draining",  "taken-out", "braked",   "cold",
+            "unreachable", "rejected",   "lost", "malformed", "timed-out", "suspected"};
+    return Names.at(static_cast<std::size_t>(refusal));
+}
+
+} // namespace jacinthshift
--- /dev/null
+++ b/modules/fleet/remote_caller.cpp
@@ -0,0 +1,130 @@
+#include "modules/fleet/remote_caller.h"
+
+#include "core/logger.h"
+
+namespace jacinthshift {
+
+namespace {
+
+WorkResult lostResult(WorkRefusal reason)
+{
+    return WorkResult{
+            .verdict = Verdict::MayHaveRun, .refusal = reason, .reachedBackend = true};
+}
+
+} // namespace
+
+RemoteCaller::RemoteCaller(const RemoteCallerOptions &options, FleetNetwork &network,
+                           TimerService &timers)
+    : m_options(options), m_network(network), m_timers(timers)
+{
+    network.addObserver(*this);
+    m_check = Timer(timers, timers.startPeriodic(options.checkPeriod, [this] { check(); }));
+}
+
+std::uint64_t RemoteCaller::call(const std::string &node, const WorkRequest &work,
+                                 Callback callback)
+{
+    const std::uint64_t id = ++m_lastCall;
+    const FleetPeer *peer = m_network.peer(node);
+    m_calls.emplace(id, Call{.node = node,
+                             .incarnation = peer == nullptr ? 0 : peer->contact.incarnation,
+                             .callback = std::move(callback),
+                             .deadline = m_timers.now() + work.timeLeft});
+    ++m_perNode[node];
+    if (!m_network.send(node, WorkCallMessage{.call = id, .work = work})) {
+        m_timers.startOnce(std::chrono::milliseconds(0), [this, id] {
+            finish(id, WorkResult{.verdict = Verdict::NotRun,
+                                  .refusal = WorkRefusal::Unreachable});
+        });
+    }
+    return id;
+}
+
+void RemoteCaller::cancel(std::uint64_t call)
+{
+    const auto found = m_calls.find(call);
+    if (found == m_calls.end())
+        return;
+    m_network.send(found->second.node, WorkCancelMessage{.call = call});
+    --m_perNode[found->second.node];
+    m_calls.erase(found);
+}
+
+std::uint32_t RemoteCaller::outstanding(const std::string &node) const
+{
+    const auto found = m_perNode.find(node);
+    return found == m_perNode.end() ? 0 : found->second;
+}
+
+void RemoteCaller::finish(std::uint64_t call, const WorkResult &result)
+{
+    const auto found = m_calls.find(call);
+    if (found == m_calls.end())
+        return;
+    const Callback callback = std::move(found->second.callback);
+    --m_perNode[found->second.node];
+    m_calls.erase(found);
+    callback(result);
+}
+
+void RemoteCaller::check()
+{
+    const SteadyTime now = m_timers.now();
+    std::vector<std::uint64_t> lost;
+    for (const auto &[id, call] : m_calls) {
+        const bool linkless = call.linklessSince != SteadyTime()
+                              && now - call.linklessSince > m_options.linkLossPatience;
+        if (linkless)
+            lost.push_back(id);
+    }
+    for (const std::uint64_t id : lost)
+        finish(id, lostResult(WorkRefusal::Lost));
+}
+
+void RemoteCaller::resume(const std::string &node)
+{
+    WorkResumeMessage message;
+    for (auto &[id, call] : m_calls) {
+        if (call.node != node)
+            continue;
+        message.calls.push_back(id);
+        call.linklessSince = SteadyTime();
+    }
+    if (!message.calls.empty())
+        m_network.send(node, message);
+}
+
+void RemoteCaller::fleetLinksChanged(const std::string &node)
+{
+    const FleetPeer *peer = m_network.peer(node);
+    const bool linked = peer != nullptr && !peer->links.empty();
+    std::vector<std::uint64_t> dead;
+    for (auto &[id, call] : m_calls) {
+        if (call.node != node)
+            continue;
+        if (linked && peer->contact.incarnation != call.incarnation)
+            dead.push_back(id);
+        else if (!linked && call.linklessSince == SteadyTime())
+            call.linklessSince = m_timers.now();
+    }
+    for (const std::uint64_t id : dead)
+        finish(id, lostResult(WorkRefusal::Lost));
+    if (linked)
+        resume(node);
+}
+
+void RemoteCaller::fleetMessage(const std::string &node, const FleetMessage &message)
+{
+    const WorkResultMessage *result = std::get_if<WorkResultMessage>(&message);
+    if (result == nullptr)
+        return;
+    const auto found = m_calls.find(result->call);
+    if (found == m_calls.end() || found->second.node != node) {
+        logEvent(Event::LateAnswerDropped, {{"peer", node}, {"call", result->call}});
+        return;
+    }
+    finish(result->call, result->result);
+}
+
+} // namespace jacinthshift
--- /dev/null
+++ b/modules/forwarding/owner_selector.h
@@ -0,0 +1,59 @@
+#ifndef MODULES_FORWARDING_OWNER_SELECTOR_H
+#define MODULES_FORWARDING_OWNER_SELECTOR_H
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "core/random.h"
+#include "modules/fleet/messages.h"
+
+namespace jacinthshift {
+
+struct OwnerSelectorOptions
+{
+    /** Added to an owner in another failure domain: two ways across, and the price of its bytes. */
+    double otherDomainMilliseconds = 6.0;
+    /** How much a failing backend server's answers count as longer: at 1 in 10 by this part of 10. */
+    double failurePenalty = 4.0;
+    /** A backend server that is full to this part begins to count as slower. */
+    double comfortableLoad = 0.6;
+    double crowdedPenalty = 0.8; ///< Part of the service time added to one that is just full.
+    double noise = 0.05;         ///< Part of the cost by which equal owners are told apart.
+    /** Senders that share a cold backend server; each takes its part of what it bears. */
+    double coldPreference = 0.5;
+};
+
+/** An owner that may take a request. */
+struct OwnerCandidate
+{
+    std::string node;
+    bool sameDomain = false;
+    BackendStatus backend;
+    std::uint32_t outstanding = 0; ///< This node's own calls that wait there.
+    std::uint32_t senders = 1;     ///< Nodes that may send to it.
+};
+
+/** Chooses where a request is expected to be answered first. */
+class OwnerSelector
+{
+    OwnerSelectorOptions m_options;
+    Random m_random;
+
+    double cost(const OwnerCandidate &candidate, double fallbackServiceTime);
+
+public:
+    OwnerSelector(const OwnerSelectorOptions &options, std::uint64_t seed)
+        : m_options(options), m_random(seed)
+    {
+    }
+
+    /** Returns the position of the best candidate, or nothing if there is none. */
+    std::optional<std::size_t> choose(const std::vector<OwnerCandidate> &candidates);
+};
+
+} // namespace jacinthshift
+
+#endif // MODULES_FORWARDING_OWNER_SELECTOR_H
--- /dev/null
+++ b/modules/forwarding/traffic_metrics.h
@@ -0,0 +1,49 @@
+#ifndef MODULES_FORWARDING_TRAFFIC_METRICS_H
+#define MODULES_FORWARDING_TRAFFIC_METRICS_H
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <tuple>
+
+namespace jacinthshift {
+
+/** Counts callers' requests by route, outcome and reason, with a histogram of latencies a route. */
+class TrafficMetrics
+{
+public:
+    /** Upper bounds of the histogram's buckets in milliseconds. */
+    static constexpr std::array<int, 12> BucketBounds = {1,   2,   5,   10,   25,   50,
+                                                         100, 250, 500, 1000, 2500, 5000};
+
+private:
+    struct Histogram
+    {
+        std::array<std::uint64_t, BucketBounds.size()> buckets{};
+        std::uint64_t count = 0;
+        double seconds = 0.0;
+    };
+    using CounterKey = std::tuple<std::string, int, std::string>; ///< Route, status, reason.
+
+    std::map<CounterKey, std::uint64_t> m_requests;
+    std::map<std::string, Histogram> m_latencies;
+    std::uint64_t m_retries = 0;
+    std::uint64_t m_retriesDenied = 0;
+    std::uint64_t m_callersGone = 0;
+
+public:
+    void requestAnswered(const std::string &route, int status, std::string_view reason,
+                         std::chrono::microseconds latency);
+    void requestRetried() { ++m_retries; }
+    void retryDenied() { ++m_retriesDenied; }
+    void callerGone() { ++m_callersGone; }
+    /** Writes the metrics in the text exposition format, in seconds. */
+    std::string text() const;
+};
+
+} // namespace jacinthshift
+
+#endif // MODULES_FORWARDING_TRAFFIC_METRICS_H
--- /dev/null
+++ b/modules/owner/backend_owner.cpp
@@ -0,0 +1,490 @@
+#include "modules/owner/backend_owner.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "core/logger.h"
+#include "core/text.h"
+#include "modules/release/evidence_ledger.h"
+
+namespace jacinthshift {
+
+namespace {
+
+constexpr int StatusMisdirected = 421;
+constexpr int FirstServerError = 500;
+constexpr int FirstSuccess = 200;
+constexpr int FirstRedirect = 300;
+constexpr double FailureWeight = 0.05; ///< Of the newest request in the mean share of failures.
+// What the answer needs on its way back, so that the caller's node hears it before its own timeout.
+constexpr std::chrono::milliseconds ReturnMargin{10};
+
+bool isSuccess(int status)
+{
+    return status >= FirstSuccess && status < FirstRedirect;
+}
+
+std::chrono::milliseconds untilTime(SteadyTime now, SteadyTime then)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(then - now);
+}
+
+} // namespace
+
+BackendOwner::BackendOwner(const BackendOwnerOptions &options, HttpClient &client,
+                           TimerService &timers, PoisonRegistry &poison, OwnerObserver &observer)
+    : m_options(options)
+    , m_client(client)
+    , m_timers(timers)
+    , m_poison(poison)
+    , m_observer(observer)
+    , m_admission(options.admission)
+{
+}
+
+absl::Status BackendOwner::heartbeat(const BackendHeartbeat &heartbeat)
+{
+    if (!m_options.service.empty() && heartbeat.service != m_options.service)
+        return absl::InvalidArgumentError(joinText("this VM runs service ", m_options.service,
+                                                   ", not ", heartbeat.service));
+    const BackendAvailability before = availability();
+    const RegistrationOutcome outcome = m_registration.heartbeat(heartbeat);
+    if (outcome == RegistrationOutcome::Stale || outcome == RegistrationOutcome::Left) {
+        logEvent(Event::HeartbeatIgnored,
+                 {{"backend", heartbeat.id},
+                  {"sequence", heartbeat.sequence},
+                  {"reason", outcome == RegistrationOutcome::Left ? "it has left" : "stale"}});
+        return absl::OkStatus();
+    }
+    const bool draining = m_registration.current()->draining;
+    m_absent = false;
+    m_cautious = false;
+    m_connectFailures = 0;
+    m_coldUntil = m_timers.now() + heartbeat.coldRemaining;
+    m_admission.setLimit(heartbeat.slots);
+    if (outcome == RegistrationOutcome::NewLifetime) {
+        m_evidence.clear();
+        m_recentFailures = 0.0;
+        logEvent(Event::BackendAnnounced, {{"backend", heartbeat.id},
+                                           {"version", heartbeat.version},
+                                           {"slots", heartbeat.slots},
+                                           {"cold_ms", heartbeat.coldRemaining.count()}});
+    }
+    updateStartRate();
+    if (draining)
+        refuseWaiting(WorkRefusal::Draining);
+    if (availability() != before || outcome == RegistrationOutcome::NewLifetime) {
+        if (draining)
+            logEvent(Event::BackendLeaving, {{"backend", heartbeat.id}});
+        m_observer.ownerChanged();
+    }
+    runTurns();
+    return absl::OkStatus();
+}
+
+void BackendOwner::goodbye(const std::string &id, std::optional<std::uint64_t> startedAt)
+{
+    if (m_registration.goodbye(id, startedAt) != RegistrationOutcome::Accepted)
+        return;
+    logEvent(Event::BackendLeaving, {{"backend", id}});
+    refuseWaiting(WorkRefusal::Draining);
+    m_observer.ownerChanged();
+}
+
+void BackendOwner::setPolicy(const ServicePolicy &policy)
+{
+    m_policy = policy;
+    updateStartRate();
+}
+
+void BackendOwner::setTakenOut(bool takenOut)
+{
+    if (m_takenOut == takenOut)
+        return;
+    m_takenOut = takenOut;
+    if (takenOut) {
+        refuseWaiting(WorkRefusal::TakenOut);
+    } else {
+        // It may come back cold; the next heartbeat tells.
+        m_cautious = true;
+        updateStartRate();
+    }
+    m_observer.ownerChanged();
+}
+
+void BackendOwner::setLeaving()
+{
+    m_leaving = true;
+    refuseWaiting(WorkRefusal::Draining);
+    m_observer.ownerChanged();
+}
+
+void BackendOwner::setBraked(bool braked)
+{
+    if (m_braked == braked)
+        return;
+    m_braked = braked;
+    if (braked)
+        refuseWaiting(WorkRefusal::Braked);
+    m_observer.ownerChanged();
+}
+
+bool BackendOwner::isCold() const
+{
+    return m_cautious || m_timers.now() < m_coldUntil;
+}
+
+void BackendOwner::updateStartRate()
+{
+    double rate = 0.0;
+    if (isCold()) {
+        rate = m_policy.coldRequestsPerSecond > 0.0
+                       ? m_policy.coldRequestsPerSecond * m_options.coldShare
+                       : m_options.unknownColdRate;
+    }
+    m_admission.setStartRate(rate, m_timers.now());
+}
+
+BackendAvailability BackendOwner::availability() const
+{
+    const std::optional<BackendHeartbeat> &backend = m_registration.current();
+    if (!backend || m_absent)
+        return BackendAvailability::Absent;
+    const bool draining = backend->draining || m_leaving || m_takenOut;
+    return draining ? BackendAvailability::Draining : BackendAvailability::Ready;
+}
+
+BackendStatus BackendOwner::status() const
+{
+    const std::optional<BackendHeartbeat> &backend = m_registration.current();
+    BackendStatus status{.availability = availability()};
+    if (!backend)
+        return status;
+    status.id = backend->id;
+    status.service = backend->service;
+    status.version = backend->version;
+    status.limit = m_admission.limit();
+    status.running = m_admission.running();
+    status.queued = m_admission.waiting();
+    status.startsPerSecond = static_cast<std::uint32_t>(std::ceil(m_admission.startsPerSecond()));
+    status.serviceTime = m_admission.typicalServiceTime();
+    status.failuresPerThousand = static_cast<std::uint32_t>(std::lround(m_recentFailures * 1'000));
+    status.braked = m_braked;
+    return status;
+}
+
+WorkRefusal BackendOwner::refusalFor(const WorkRequest &work) const
+{
+    const std::optional<BackendHeartbeat> &backend = m_registration.current();
+    if (!backend || backend->service != work.service)
+        return WorkRefusal::NoBackend;
+    if (m_absent)
+        return WorkRefusal::Unreachable;
+    if (backend->draining || m_leaving)
+        return WorkRefusal::Draining;
+    if (m_takenOut)
+        return WorkRefusal::TakenOut;
+    if (m_braked || (!work.version.empty() && work.version != backend->version))
+        return WorkRefusal::Braked;
+    // A sender that does not know of the rollout must not fill the new version.
+    const bool unaware = work.version.empty() && !m_rolloutTarget.empty();
+    return unaware && backend->version == m_rolloutTarget ? WorkRefusal::Braked
+                                                          : WorkRefusal::None;
+}
+
+void BackendOwner::refuseNow(const Callback &callback, const WorkRequest &work, WorkRefusal reason,
+                             std::chrono::milliseconds retryAfter)
+{
+    logEvent(Event::AdmissionRefused,
+             {{"request", findHeader(work.request.headers, m_options.headers.requestId)},
+              {"reason", refusalName(reason)},
+              {"running", m_admission.running()},
+              {"waiting", m_admission.waiting()},
+              {"limit", m_admission.limit()},
+              {"service_ms", m_admission.typicalServiceTime().count()},
+              {"left_ms", work.timeLeft.count()}});
+    callback(WorkResult{
+            .verdict = Verdict::NotRun, .refusal = reason, .retryAfter = retryAfter});
+}
+
+std::uint64_t BackendOwner::run(const WorkRequest &work, Callback callback)
+{
+    const SteadyTime now = m_timers.now();
+    const WorkRefusal refusal = refusalFor(work);
+    if (refusal != WorkRefusal::None) {
+        refuseNow(callback, work, refusal, std::chrono::milliseconds(0));
+        return 0;
+    }
+    const std::uint64_t fingerprint = requestFingerprint(work.service, work.request);
+    if (m_poison.isRefused(fingerprint, now)) {
+        refuseNow(callback, work, WorkRefusal::Suspected, std::chrono::milliseconds(0));
+        return 0;
+    }
+    updateStartRate();
+    const std::uint64_t id = ++m_lastWork;
+    const SteadyTime deadline = now + std::max(work.timeLeft - ReturnMargin, ReturnMargin);
+    const AdmissionDecision decision =
+            m_admission.offer(AdmissionTicket{.id = id,
+                                              .route = work.route,
+                                              .priority = work.priority,
+                                              .returning = work.returning,
+                                              .targetAt = now + work.targetLeft,
+                                              .deadline = deadline},
+                              now);
+    if (decision.kind == AdmissionDecision::Kind::Refuse) {
+        refuseNow(callback, work, decision.reason, decision.expectedWait);
+        return 0;
+    }
+    m_work.emplace(id, Work{.request = work,
+                            .callback = std::move(callback),
+                            .fingerprint = fingerprint,
+                            .arrivedAt = now,
+                            .deadline = deadline});
+    if (decision.kind == AdmissionDecision::Kind::Start)
+        start(id);
+    else if (!m_turns.isActive())
+        m_turns = Timer(m_timers, m_timers.startPeriodic(m_options.turnPeriod,
+                                                         [this] { runTurns(); }));
+    return id;
+}
+
+void BackendOwner::cancel(std::uint64_t id)
+{
+    const auto found = m_work.find(id);
+    if (found == m_work.end())
+        return;
+    const Work work = std::move(found->second);
+    m_work.erase(found);
+    if (work.startedAt == SteadyTime()) {
+        m_admission.withdraw(id);
+        return;
+    }
+    m_client.cancel(work.call);
+    m_admission.finished(work.request.route, std::chrono::microseconds(0), m_timers.now());
+    runTurns();
+}
+
+HttpRequest BackendOwner::outgoing(const Work &work, std::chrono::milliseconds timeLeft) const
+{
+    const HeaderNames &names = m_options.headers;
+    HttpRequest request;
+    request.method = work.request.request.method;
+    request.target = work.request.request.target;
+    request.body = work.request.request.body;
+    for (const HttpHeader &header : work.request.request.headers) {
+        const bool replaced = equalsIgnoreCase(header.name, names.deadline)
+                              || equalsIgnoreCase(header.name, names.expectedInstance)
+                              || equalsIgnoreCase(header.name, names.callerService);
+        if (!replaced)
+            request.headers.push_back(header);
+    }
+    request.headers.push_back({names.deadline, std::to_string(timeLeft.count())});
+    request.headers.push_back({names.expectedInstance, work.backend});
+    request.headers.push_back({names.callerService, work.request.callerService});
+    return request;
+}
+
+void BackendOwner::start(std::uint64_t id)
+{
+    Work &work = m_work.at(id);
+    const SteadyTime now = m_timers.now();
+    const BackendHeartbeat &backend = *m_registration.current();
+    work.startedAt = now;
+    work.backend = backend.id;
+    const std::chrono::milliseconds timeLeft =
+            std::max(untilTime(now, work.deadline), std::chrono::milliseconds(1));
+    const HeaderNames &names = m_options.headers;
+    const HttpSendOptions options{
+            .server = backend.endpoint,
+            .timeout = timeLeft,
+            .connectTimeout = std::min(m_options.connectTimeout, timeLeft),
+            .maxIdle = work.request.idempotent ? m_options.maxIdle
+                                               : m_options.maxIdleNonIdempotent,
+            .correlation = {.name = names.requestId,
+                            .value = std::string(
+                                    findHeader(work.request.request.headers, names.requestId))}};
+    work.call = m_client.send(options, outgoing(work, timeLeft),
+                              [this, id](HttpResult result) { answered(id, std::move(result)); });
+}
+
+void BackendOwner::answered(std::uint64_t id, HttpResult result)
+{
+    const auto found = m_work.find(id);
+    if (found == m_work.end())
+        return;
+    const SteadyTime now = m_timers.now();
+    const std::chrono::microseconds serviceTime =
+            std::chrono::duration_cast<std::chrono::microseconds>(now - found->second.startedAt);
+    const bool tells = result.verdict == Verdict::Done || result.failure == HttpFailure::TimedOut;
+    const Work work = found->second;
+    const WorkResult outcome = classify(work, std::move(result));
+    const bool ran = outcome.verdict != Verdict::NotRun;
+    m_admission.finished(work.request.route,
+                         tells && ran ? serviceTime : std::chrono::microseconds(0), now);
+    noteEvidence(work, outcome, serviceTime);
+    finish(id, outcome);
+    runTurns();
+}
+
+WorkResult BackendOwner::classify(const Work &work, HttpResult result)
+{
+    WorkResult outcome{.verdict = result.verdict, .reachedBackend = true};
+    switch (result.failure) {
+    case HttpFailure::None:
+        break;
+    case HttpFailure::ConnectFailed:
+        outcome.refusal = WorkRefusal::Unreachable;
+        outcome.reachedBackend = false;
+        noteConnectFailure();
+        return outcome;
+    case HttpFailure::ConnectionLost:
+        outcome.refusal = WorkRefusal::Lost;
+        noteLost(work.fingerprint);
+        return outcome;
+    case HttpFailure::TimedOut:
+    case HttpFailure::Cancelled:
+        outcome.refusal = WorkRefusal::TimedOut;
+        return outcome;
+    case HttpFailure::Malformed:
+        outcome.refusal = WorkRefusal::Malformed;
+        return outcome;
+    }
+    m_connectFailures = 0;
+    const std::vector<HttpHeader> &headers = result.response.headers;
+    const bool misdirected = result.response.status == StatusMisdirected;
+    if (misdirected || !findHeader(headers, m_options.headers.notRun).empty()) {
+        outcome.verdict = Verdict::NotRun;
+        outcome.refusal = WorkRefusal::Rejected;
+        if (misdirected && m_registration.current()
+            && m_registration.current()->id == work.backend && !m_absent) {
+            m_absent = true;
+            logEvent(Event::BackendLost, {{"backend", work.backend}, {"reason", "replaced"}});
+            m_observer.ownerChanged();
+        }
+        return outcome;
+    }
+    const bool encoded = !findHeader(headers, "Content-Encoding").empty();
+    const bool unsealed = !m_options.headers.seal.empty() && isSuccess(result.response.status)
+                          && findHeader(headers, m_options.headers.seal).empty();
+    if (encoded || unsealed) {
+        outcome.verdict = Verdict::MayHaveRun;
+        outcome.refusal = WorkRefusal::Malformed;
+        return outcome;
+    }
+    outcome.response = std::move(result.response);
+    if (isSuccess(outcome.response.status) && m_poison.isSuspect(work.fingerprint)) {
+        m_poison.clear(work.fingerprint);
+        m_observer.requestCleared(work.fingerprint);
+    }
+    return outcome;
+}
+
+void BackendOwner::noteEvidence(const Work &work, const WorkResult &result,
+                                std::chrono::microseconds serviceTime)
+{
+    const bool done = result.verdict == Verdict::Done;
+    const bool failed = !done || result.response.status >= FirstServerError;
+    if (result.verdict != Verdict::NotRun || result.refusal == WorkRefusal::Rejected)
+        m_recentFailures += FailureWeight * ((failed ? 1.0 : 0.0) - m_recentFailures);
+    const std::optional<BackendHeartbeat> &backend = m_registration.current();
+    if (!backend || backend->id != work.backend || result.verdict == Verdict::NotRun)
+        return;
+    ArmEvidence &counts = m_evidence[work.request.route];
+    ++counts.requests;
+    if (failed && result.refusal != WorkRefusal::TimedOut)
+        ++counts.failures;
+    else
+        ++counts.latency[latencyBucket(serviceTime)];
+}
+
+std::vector<VersionEvidence> BackendOwner::evidence() const
+{
+    std::vector<VersionEvidence> routes;
+    for (const auto &[route, counts] : m_evidence)
+        routes.push_back(VersionEvidence{.route = route, .counts = counts});
+    return routes;
+}
+
+void BackendOwner::noteConnectFailure()
+{
+    ++m_connectFailures;
+    if (m_connectFailures < m_options.failuresToAbsent || m_absent)
+        return;
+    m_absent = true;
+    m_cautious = true;
+    const std::optional<BackendHeartbeat> &backend = m_registration.current();
+    logEvent(Event::BackendLost, {{"backend", backend ? backend->id : std::string()},
+                                  {"reason", "cannot be reached"}});
+    declareCrash();
+    refuseWaiting(WorkRefusal::Unreachable);
+    m_observer.ownerChanged();
+}
+
+void BackendOwner::noteLost(std::uint64_t fingerprint)
+{
+    const SteadyTime now = m_timers.now();
+    std::size_t old = 0;
+    while (old < m_lostAt.size() && now - m_lostAt[old] > m_options.crashWindow)
+        ++old;
+    m_lostAt.erase(m_lostAt.begin(), m_lostAt.begin() + static_cast<std::ptrdiff_t>(old));
+    m_lostFingerprints.erase(m_lostFingerprints.begin(),
+                             m_lostFingerprints.begin() + static_cast<std::ptrdiff_t>(old));
+    m_lostAt.push_back(now);
+    m_lostFingerprints.push_back(fingerprint);
+    const bool allLost = m_admission.running() <= m_lostAt.size();
+    if (m_lostAt.size() < m_options.lostToSuspectCrash && !allLost)
+        return;
+    // It may be starting again; the next heartbeat tells. Until then it gets what a cold one bears.
+    m_cautious = true;
+    updateStartRate();
+}
+
+void BackendOwner::declareCrash()
+{
+    const std::optional<BackendHeartbeat> &backend = m_registration.current();
+    const std::string id = backend ? backend->id : std::string();
+    const SteadyTime now = m_timers.now();
+    for (const std::uint64_t fingerprint : m_lostFingerprints) {
+        if (m_poison.suspect(fingerprint, id, now))
+            m_observer.requestSuspected(fingerprint, id);
+    }
+    m_lostAt.clear();
+    m_lostFingerprints.clear();
+}
+
+void BackendOwner::finish(std::uint64_t id, const WorkResult &result)
+{
+    const auto found = m_work.find(id);
+    if (found == m_work.end())
+        return;
+    const Callback callback = std::move(found->second.callback);
+    m_work.erase(found);
+    callback(result);
+}
+
+void BackendOwner::runTurns()
+{
+    if (m_admission.waiting() == 0) {
+        m_turns.stop();
+        return;
+    }
+    updateStartRate();
+    const AdmissionTurns due = m_admission.turns(m_timers.now());
+    for (const std::uint64_t id : due.giveUp) {
+        finish(id, WorkResult{.verdict = Verdict::NotRun,
+                              .refusal = WorkRefusal::Full,
+                              .retryAfter = m_admission.typicalServiceTime()});
+    }
+    for (const std::uint64_t id : due.start) {
+        if (m_work.contains(id))
+            start(id);
+    }
+}
+
+void BackendOwner::refuseWaiting(WorkRefusal reason)
+{
+    for (const std::uint64_t id : m_admission.clear())
+        finish(id, WorkResult{.verdict = Verdict::NotRun, .refusal = reason});
+}
+
+} // namespace jacinthshift
--- /dev/null
+++ b/modules/rollout/rollout_judge.cpp
@@ -0,0 +1,44 @@
+#include "modules/rollout/rollout_judge.h"
+
+#include "core/text.h"
+#include "modules/release/evidence_ledger.h"
+
+namespace jacinthshift {
+
+void RolloutJudge::addReport(const std::string &node, const VersionEvidenceMessage &report)
+{
+    Reporter &reporter = m_reporters[node];
+    if (reporter.backend != report.backend) {
+        reporter = Reporter{.backend = report.backend, .routes = {}};
+    }
+    const bool candidate = report.version == m_targetVersion;
+    for (const VersionEvidence &evidence : report.routes) {
+        ArmEvidence &known = reporter.routes[evidence.route];
+        // An owner that started again counts from zero.
+        if (evidence.counts.requests < known.requests)
+            known = ArmEvidence();
+        const ArmEvidence delta = evidenceSince(evidence.counts, known);
+        known = evidence.counts;
+        if (delta.requests == 0)
+            continue;
+        FaultDetector &detector =
+                m_detectors.try_emplace(evidence.route, m_options).first->second;
+        if (candidate) {
+            m_candidateRequests += delta.requests;
+            detector.add(ArmEvidence(), delta);
+        } else {
+            detector.add(delta, ArmEvidence());
+        }
+    }
+}
+
+std::string RolloutJudge::fault() const
+{
+    for (const auto &[route, detector] : m_detectors) {
+        if (detector.isFaulty())
+            return joinText("route ", route, ": ", detector.fault());
+    }
+    return {};
+}
+
+} // namespace jacinthshift
--- /dev/null
+++ b/modules/rollout/rollout_register.h
@@ -0,0 +1,40 @@
+#ifndef MODULES_ROLLOUT_ROLLOUT_REGISTER_H
+#define MODULES_ROLLOUT_ROLLOUT_REGISTER_H
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include "modules/fleet/messages.h"
+
+namespace jacinthshift {
+
+/** What the operator is told of one rollout. */
+struct RolloutEntry
+{
+    std::string targetVersion; ///< Empty if nothing has been written for the service.
+    RolloutOutcome outcome = RolloutOutcome::Open;
+    std::uint64_t end = 0; ///< Where the register's table ended when it was read.
+};
+
+/** Keeps the outcome of rollouts for the operator and for nodes that start later. */
+class RolloutRegister
+{
+public:
+    using ReadCallback = std::function<void(absl::StatusOr<RolloutEntry>)>;
+    using WriteCallback = std::function<void(absl::Status)>;
+
+    virtual ~RolloutRegister() = default;
+
+    virtual void read(const std::string &service, ReadCallback callback) = 0;
+    /** Writes an entry unless the table has grown since its end was read. */
+    virtual void write(const std::string &service, const RolloutEntry &entry,
+                       WriteCallback callback) = 0;
+};
+
+} // namespace jacinthshift
+
+#endif // MODULES_ROLLOUT_ROLLOUT_REGISTER_H
--- /dev/null
+++ b/modules/traffic/route_table.cpp
@@ -0,0 +1,87 @@
+#include "modules/traffic/route_table.h"
+
+#include <algorithm>
+#include <cctype>
+
+#include "core/hash.h"
+
+namespace jacinthshift {
+
+namespace {
+
+std::string lowerCase(std::string_view text)
+{
+    std::string lower(text);
+    std::transform(lower.begin(), lower.end(), lower.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return lower;
+}
+
+std::string hostName(std::string_view host)
+{
+    return lowerCase(host.substr(0, host.find(':')));
+}
+
+} // namespace
+
+ActiveRoute::ActiveRoute(TrafficRoute route, std::uint64_t seed) : m_route(std::move(route))
+{
+    for (const SplitPart &part : m_route.parts)
+        m_totalWeight += part.weight;
+    const std::uint64_t hash = combineHash(seed, stableHash(m_route.name));
+    for (std::size_t i = 0; i < m_route.parts.size(); ++i) {
+        const std::int64_t spread = m_totalWeight > 0 ? m_totalWeight : 1;
+        m_credits.push_back(static_cast<std::int64_t>(combineHash(hash, i) % spread));
+    }
+}
+
+const std::string &ActiveRoute::nextService()
+{
+    static const std::string none;
+    std::size_t best = m_route.parts.size();
+    for (std::size_t i = 0; i < m_route.parts.size(); ++i) {
+        if (m_route.parts[i].weight == 0)
+            continue;
+        m_credits[i] += m_route.parts[i].weight;
+        if (best == m_route.parts.size() || m_credits[i] > m_credits[best])
+            best = i;
+    }
+    if (best == m_route.parts.size())
+        return none;
+    m_credits[best] -= m_totalWeight;
+    return m_route.parts[best].service;
+}
+
+RouteTable::RouteTable(const TrafficConfig &config, std::uint64_t seed)
+{
+    for (const TrafficRoute &route : config.routes)
+        m_hosts[hostName(route.host)].insert_or_assign(route.prefix, ActiveRoute(route, seed));
+}
+
+ActiveRoute *RouteTable::find(std::string_view host, std::string_view target)
+{
+    const auto prefixes = m_hosts.find(hostName(host));
+    if (prefixes == m_hosts.end())
+        return nullptr;
+    std::string_view path = target.substr(0, target.find_first_of("?#"));
+    while (!path.empty()) {
+        const std::size_t slash = path.rfind('/');
+        if (slash == std::string_view::npos)
+            return nullptr;
+        const auto found = prefixes->second.find(std::string(path.substr(0, slash + 1)));
+        if (found != prefixes->second.end())
+            return &found->second;
+        path = path.substr(0, slash);
+    }
+    return nullptr;
+}
+
+std::size_t RouteTable::size() const
+{
+    std::size_t count = 0;
+    for (const auto &[host, prefixes] : m_hosts)
+        count += prefixes.size();
+    return count;
+}
+
+} // namespace jacinthshift
--- a/modules/yaml/yaml_section.cpp
+++ b/modules/yaml/yaml_section.cpp
@@ -1,6 +1,7 @@
 #include "modules/yaml/yaml_section.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "core/duration.h"
 #include "core/text.h"
@@ -124,6 +125,24 @@
     return value;
 }
 
+double YamlSection::real(const std::string &key, double fallback)
+{
+    const YAML::Node node = find(key);
+    if (!node.IsDefined())
+        return fallback;
+    double value = fallback;
+    if (!node.IsScalar() || !YAML::convert<double>::decode(node, value) || value < 0.0)
+        note(key, joinText(key, " must be a number of at least 0"));
+    return value;
+}
+
+std::chrono::milliseconds YamlSection::seconds(const std::string &key,
+                                               std::chrono::milliseconds fallback)
+{
+    const double whole = real(key, static_cast<double>(fallback.count()) / 1'000.0);
+    return std::chrono::milliseconds(std::llround(whole * 1'000.0));
+}
+
 std::chrono::milliseconds YamlSection::duration(const std::string &key,
                                                 std::chrono::milliseconds fallback)
 {
--- a/modules/yaml/yaml_section.h
+++ b/modules/yaml/yaml_section.h
@@ -55,6 +55,9 @@
     std::string text(const std::string &key, const std::string &fallback);
     bool flag(const std::string &key, bool fallback);
     std::uint32_t number(const std::string &key, std::uint32_t fallback);
+    double real(const std::string &key, double fallback);
+    /** Reads a time in seconds with fractions. */
+    std::chrono::milliseconds seconds(const std::string &key, std::chrono::milliseconds fallback);
     std::chrono::milliseconds duration(const std::string &key, std::chrono::milliseconds fallback);
     Endpoint endpoint(const std::string &key);
     Endpoint endpoint(const std::string &key, const Endpoint &fallback);
--- /dev/null
+++ b/node/mesh_node.cpp
@@ -0,0 +1,485 @@
+#include "node/mesh_node.h"
+
+#include <algorithm>
+#include <csignal>
+#include <ctime>
+
+#include <glib-unix.h>
+#include <sys/stat.h>
+
+#include "core/duration.h"
+#include "core/hash.h"
+#include "core/text.h"
+#include "drivers/beast/beast_http_client.h"
+#include "drivers/beast/beast_http_server.h"
+#include "drivers/epoll/epoll_loop.h"
+#include "drivers/websocket/websocket_link_transport.h"
+#include "modules/feed/table_sync.h"
+#include "modules/forwarding/forwarder.h"
+#include "modules/owner/backend_owner.h"
+#include "modules/rollout/rollout_controller.h"
+#include "node/contact_book.h"
+#include "platform/record_codec.h"
+#include "platform/rollout_status.h"
+#include "platform/store_client.h"
+#include "platform/wire_names.h"
+
+namespace jacinthshift {
+
+namespace {
+
+constexpr int StatusBadRequest = 400;
+constexpr int StatusNotFound = 404;
+constexpr int StatusUnavailable = 503;
+
+constexpr std::chrono::milliseconds LogFlushPeriod{100};
+constexpr std::chrono::milliseconds SettingsCheckPeriod{2'000};
+constexpr std::chrono::milliseconds ShutdownCheckPeriod{50};
+// The platform asks once a second and takes a node out after two misses; callers come until then.
+constexpr std::chrono::milliseconds CallersLeaveTime{2'700};
+constexpr std::chrono::milliseconds GraceMargin{400};
+// Descriptors that are not for callers: links, backend server, log, listeners and files.
+constexpr std::uint32_t ReservedFiles = 1'200;
+// A caller that was told to come back takes a new connection; this many stay open beside those.
+constexpr double KeptPart = 0.8;
+
+std::uint64_t unixNow()
+{
+    return static_cast<std::uint64_t>(unixMilliseconds(std::chrono::system_clock::now()));
+}
+
+std::time_t modificationTime(const std::string &file)
+{
+    struct stat found = {};
+    return stat(file.c_str(), &found) == 0 ? found.st_mtime : 0;
+}
+
+HttpServerOptions callerServerOptions(const MeshSettings &settings, const CallerLimits &limits)
+{
+    const std::uint32_t callers =
+            std::max(64U, settings.maxFiles > ReservedFiles ? settings.maxFiles - ReservedFiles
+                                                             : settings.maxFiles / 2);
+    return HttpServerOptions{.maxBodyBytes = limits.maxBodyBytes,
+                             .maxHeaderBytes = limits.maxHeaderBytes,
+                             .headerTimeout = limits.headerTimeout,
+                             .idleTimeout = limits.idleTimeout,
+                             .maxConnections = callers,
+                             .maxKeptConnections =
+                                     static_cast<std::size_t>(callers * KeptPart)};
+}
+
+} // namespace
+
+/** All parts of the node, in the order in which they depend on each other. */
+struct MeshNode::Parts final : public OwnerObserver, public FleetObserver
+{
+    MeshSettings settings;
+    std::string settingsFile;
+    std::time_t settingsTime;
+    std::uint64_t incarnation = unixNow();
+    std::uint64_t seed;
+    GMainLoop *loop = g_main_loop_new(nullptr, FALSE);
+    EpollLoop &timers = EpollLoop::instance();
+    BeastHttpClient storeHttp;
+    BeastHttpClient backendHttp;
+    StoreClient store;
+    WebsocketLinkTransport transport;
+    FleetNetwork network;
+    PoisonRegistry poison;
+    BackendOwner owner;
+    CallServer callServer;
+    RemoteCaller remote;
+    RolloutStatus rolloutStatus;
+    RolloutController rollouts;
+    TrafficMetrics metrics;
+    Forwarder forwarder;
+    OperatorTable table;
+    TableFollower follower;
+    TableSync tableSync;
+    ContactBook contacts;
+    BeastHttpServer callerServer;
+    BeastHttpServer readinessServer;
+    BeastHttpServer controlServer;
+    BeastHttpServer metricsServer;
+    RouteTable routes;
+    TrafficConfig config;
+    bool hasConfig = false;
+    bool stopping = false;
+    SteadyTime stoppingSince;
+    Timer logTimer;
+    Timer statusTimer;
+    Timer settingsTimer;
+    Timer shutdownTimer;
+
+    Parts(const MeshSettings &nodeSettings, const std::string &file);
+    ~Parts() override { g_main_loop_unref(loop); }
+    Parts(const Parts &) = delete;
+    Parts &operator=(const Parts &) = delete;
+
+    absl::Status start();
+    void operatorRecord(const KeyedRecord &record);
+    void installConfig(TrafficConfig newConfig);
+    void setDomain(const DomainOrder &order);
+    void publishStatus(bool now);
+    void handleControl(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
+    absl::Status takeHeartbeat(const std::string &id, const HttpRequest &request);
+    std::string metricsText() const;
+    void reloadSettings(const std::string &why);
+    void checkSettingsFile();
+    void beginShutdown();
+    void continueShutdown();
+
+    void ownerChanged() override { publishStatus(true); }
+    void requestSuspected(std::uint64_t fingerprint, const std::string &backend) override;
+    void requestCleared(std::uint64_t fingerprint) override;
+    void fleetMessage(const std::string &node, const FleetMessage &message) override;
+    void fleetLinksChanged(const std::string &) override {}
+};
+
+namespace {
+
+ForwarderOptions forwarderOptions(const MeshSettings &settings, std::uint64_t seed)
+{
+    // The operator's budget holds for all nodes together and counts the calls of repeated runs as
+    // well, so each node uses a part of it.
+    constexpr double RatioPart = 0.5;
+    constexpr double SlackPart = 0.04;
+    return ForwarderOptions{
+            .node = settings.node,
+            .domain = settings.domain,
+            .callerService = settings.service,
+            .headers = wire::headerNames(),
+            .retries = {.share = settings.retryRatio * RatioPart,
+                        .reserve = std::max(1.0, settings.retrySlack * SlackPart)},
+            .seed = seed};
+}
+
+} // namespace
+
+MeshNode::Parts::Parts(const MeshSettings &nodeSettings, const std::string &file)
+    : settings(nodeSettings)
+    , settingsFile(file)
+    , settingsTime(modificationTime(file))
+    , seed(combineHash(stableHash(settings.node), incarnation))
+    , storeHttp(BeastHttpClientOptions{.localAddress = settings.links.address})
+    , backendHttp(BeastHttpClientOptions{.localAddress = settings.links.address,
+                                         .maxIdlePerServer = 64})
+    , store(StoreClientOptions{.server = settings.store}, storeHttp)
+    , transport(LinkTransportOptions{.listen = settings.links})
+    , network(FleetNetworkOptions{.self = {.node = settings.node,
+                                           .domain = settings.domain,
+                                           .links = settings.links,
+                                           .incarnation = incarnation},
+                                  .seed = seed},
+              transport, timers)
+    , poison(PoisonRegistryOptions{})
+    , owner(BackendOwnerOptions{.node = settings.node,
+                                .service = settings.service,
+                                .headers = wire::headerNames()},
+            backendHttp, timers, poison, *this)
+    , callServer(CallServerOptions{}, network, timers, owner)
+    , remote(RemoteCallerOptions{}, network, timers)
+    , rolloutStatus(store)
+    , rollouts(RolloutControllerOptions{.node = settings.node,
+                                        .seed = seed,
+                                        .canaryShare = settings.canaryShare * 0.6},
+               network, timers, rolloutStatus, owner)
+    , forwarder(forwarderOptions(settings, seed), timers, network, remote, owner, rollouts, metrics)
+    , follower(TableFollowerOptions{.table = wire::OperatorTable,
+                                    .longPoll = std::chrono::milliseconds(5'000)},
+               store, timers, table)
+    , tableSync(TableSyncOptions{}, network, timers, table, follower)
+    , contacts(ContactBookOptions{}, store, network, timers)
+    , callerServer(callerServerOptions(settings, CallerLimits()))
+    , readinessServer(HttpServerOptions{})
+    , controlServer(HttpServerOptions{})
+    , metricsServer(HttpServerOptions{})
+{
+    network.addObserver(*this);
+    table.setListener([this](const KeyedRecord &record) { operatorRecord(record); });
+}
+
+absl::Status MeshNode::Parts::start()
+{
+    absl::Status status = network.start();
+    const auto listen = [&status](BeastHttpServer &server, const Endpoint &endpoint,
+                                  HttpServer::Handler handler) {
+        if (status.ok())
+            status = server.listen(endpoint, std::move(handler));
+    };
+    listen(callerServer, settings.callers,
+           [this](HttpRequest request, std::shared_ptr<HttpResponder> responder) {
+               forwarder.handle(std::move(request), std::move(responder));
+           });
+    listen(readinessServer, settings.readiness,
+           [this](const HttpRequest &, const std::shared_ptr<HttpResponder> &responder) {
+               const bool ready = hasConfig && !stopping;
+               responder->respond(HttpResponse{.status = ready ? 200 : StatusUnavailable});
+           });
+    listen(controlServer, settings.control,
+           [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+               handleControl(request, responder);
+           });
+    listen(metricsServer, settings.metrics,
+           [this](const HttpRequest &, const std::shared_ptr<HttpResponder> &responder) {
+               responder->respond(
+                       HttpResponse{.headers = {{"Content-Type", "text/plain"}},
+                                    .body = metricsText()});
+           });
+    if (!status.ok())
+        return status;
+    for (const Endpoint &node : settings.seeds)
+        network.addSeed(node);
+    contacts.start();
+    follower.setActive(true);
+    logTimer = Timer(timers, timers.startPeriodic(LogFlushPeriod, [] { flushLog(); }));
+    statusTimer = Timer(timers, timers.startPeriodic(std::chrono::milliseconds(100),
+                                                     [this] { publishStatus(false); }));
+    settingsTimer = Timer(
+            timers, timers.startPeriodic(SettingsCheckPeriod, [this] { checkSettingsFile(); }));
+    logEvent(Event::NodeStarted, {{"callers", settings.callers.text()},
+                                  {"links", settings.links.text()},
+                                  {"service", settings.service},
+                                  {"incarnation", incarnation}});
+    return absl::OkStatus();
+}
+
+void MeshNode::Parts::operatorRecord(const KeyedRecord &record)
+{
+    absl::StatusOr<OperatorRecord> decoded = decodeOperatorRecord(record);
+    if (!decoded.ok()) {
+        logEvent(Event::OperatorRecordIgnored,
+                 {{"key", record.key},
+                  {"offset", record.offset},
+                  {"reason", std::string(decoded.status().message())}});
+        return;
+    }
+    if (TrafficConfig *newConfig = std::get_if<TrafficConfig>(&*decoded))
+        installConfig(std::move(*newConfig));
+    else if (const RolloutOrder *order = std::get_if<RolloutOrder>(&*decoded))
+        rollouts.setOrder(*order, record.offset);
+    else if (const RolloutWithdrawal *withdrawal = std::get_if<RolloutWithdrawal>(&*decoded))
+        rollouts.removeOrder(withdrawal->service);
+    else if (const DomainOrder *domain = std::get_if<DomainOrder>(&*decoded))
+        setDomain(*domain);
+}
+
+void MeshNode::Parts::installConfig(TrafficConfig newConfig)
+{
+    if (hasConfig && newConfig.version <= config.version) {
+        logEvent(Event::OperatorRecordIgnored, {{"key", "config"},
+                                                {"version", newConfig.version},
+                                                {"in_force", config.version},
+                                                {"reason", "not newer"}});
+        return;
+    }
+    config = std::move(newConfig);
+    hasConfig = true;
+    routes = RouteTable(config, seed);
+    forwarder.setRoutes(&routes);
+    callerServer.setOptions(callerServerOptions(settings, config.limits));
+    const auto policy = config.services.find(settings.service);
+    if (policy != config.services.end())
+        owner.setPolicy(policy->second);
+    logEvent(Event::TrafficConfigInForce, {{"version", config.version},
+                                           {"routes", routes.size()},
+                                           {"services", config.services.size()}});
+    publishStatus(true);
+}
+
+void MeshNode::Parts::setDomain(const DomainOrder &order)
+{
+    logEvent(order.out ? Event::DomainTakenOut : Event::DomainBroughtBack,
+             {{"domain", order.domain}});
+    if (order.domain == settings.domain)
+        owner.setTakenOut(order.out);
+}
+
+void MeshNode::Parts::publishStatus(bool now)
+{
+    const StatusMessage status{.tableEnd = table.end(),
+                               .leaving = stopping,
+                               .readsLog = follower.isActive() && follower.isReachable(),
+                               .backend = owner.status()};
+    network.setStatus(status, now);
+}
+
+absl::Status MeshNode::Parts::takeHeartbeat(const std::string &id, const HttpRequest &request)
+{
+    const absl::StatusOr<BackendHeartbeat> heartbeat = decodeHeartbeat(id, request.body);
+    return heartbeat.ok() ? owner.heartbeat(*heartbeat) : heartbeat.status();
+}
+
+void MeshNode::Parts::handleControl(const HttpRequest &request,
+                                    const std::shared_ptr<HttpResponder> &responder)
+{
+    const std::string id = backendIdFromPath(request.target);
+    if (id.empty()) {
+        responder->respond(HttpResponse{.status = StatusNotFound});
+        return;
+    }
+    if (request.method == "DELETE") {
+        owner.goodbye(id, decodeGoodbye(request.body));
+    } else {
+        const absl::Status status = takeHeartbeat(id, request);
+        if (!status.ok()) {
+            const std::string reason(status.message());
+            logEvent(Event::BackendRefused, {{"backend", id}, {"reason", reason}});
+            responder->respond(HttpResponse{.status = StatusBadRequest, .body = reason + "\n"});
+            return;
+        }
+    }
+    responder->respond(HttpResponse{.headers = {{"Content-Type", "application/json"}},
+                                    .body = "{}"});
+}
+
+void MeshNode::Parts::requestSuspected(std::uint64_t fingerprint, const std::string &backend)
+{
+    logEvent(Event::CrashSuspected, {{"fingerprint", hashText(fingerprint)}, {"backend", backend}});
+    network.broadcast(CrashSuspectMessage{.fingerprint = fingerprint, .backend = backend});
+}
+
+void MeshNode::Parts::requestCleared(std::uint64_t fingerprint)
+{
+    network.broadcast(CrashSuspectMessage{.fingerprint = fingerprint, .backend = ""});
+}
+
+void MeshNode::Parts::fleetMessage(const std::string &, const FleetMessage &message)
+{
+    const CrashSuspectMessage *suspect = std::get_if<CrashSuspectMessage>(&message);
+    if (suspect == nullptr)
+        return;
+    if (suspect->backend.empty())
+        poison.clear(suspect->fingerprint);
+    else
+        poison.suspect(suspect->fingerprint, suspect->backend, timers.now());
+}
+
+std::string MeshNode::Parts::metricsText() const
+{
+    std::string text = metrics.text();
+    const auto line = [&text](const char *name, auto value) {
+        text += joinText("jacinthshift_", name, " ", value, "\n");
+    };
+    const BackendStatus backend = owner.status();
+    const auto reachable = std::count_if(
+            network.peers().begin(), network.peers().end(),
+            [this](const auto &entry) { return network.isReachable(entry.second); });
+    line("config_version", config.version);
+    line("operator_table_end", table.end());
+    line("log_reachable", follower.isReachable() ? 1 : 0);
+    line("peers_known", network.peers().size());
+    line("peers_reachable", reachable);
+    line("caller_connections", callerServer.connectionCount());
+    line("requests_open", forwarder.openRequests());
+    line("backend_available", backend.availability == BackendAvailability::Ready ? 1 : 0);
+    line("backend_limit", backend.limit);
+    line("backend_running", backend.running);
+    line("backend_waiting", backend.queued);
+    line("backend_service_ms", backend.serviceTime.count());
+    line("backend_failures_per_thousand", backend.failuresPerThousand);
+    const LogLosses losses = logLosses();
+    line("log_lines_limited_total", losses.limited);
+    line("log_lines_dropped_total", losses.dropped);
+    for (const auto &[outcome, count] : store.calls())
+        text += joinText("jacinthshift_store_calls_total{outcome=\"", outcome, "\"} ", count, "\n");
+    text += joinText("jacinthshift_process_cpu_seconds_total ",
+                     std::to_string(static_cast<double>(std::clock()) / CLOCKS_PER_SEC), "\n");
+    return text;
+}
+
+void MeshNode::Parts::checkSettingsFile()
+{
+    const std::time_t time = modificationTime(settingsFile);
+    if (time != settingsTime && time != 0)
+        reloadSettings("the file has changed");
+}
+
+void MeshNode::Parts::reloadSettings(const std::string &why)
+{
+    settingsTime = modificationTime(settingsFile);
+    Problems problems;
+    const MeshSettings fresh = readMeshSettings(settingsFile, problems);
+    if (!problems.empty()) {
+        for (const Problem &problem : problems)
+            logEvent(Event::SettingsRefused, {{"problem", problem.text()}});
+        return;
+    }
+    // Addresses of listeners hold for the life of the process; the platform restarts it to move them.
+    settings.store = fresh.store;
+    settings.grace = fresh.grace;
+    settings.logLevel = fresh.logLevel;
+    settings.maxFiles = fresh.maxFiles;
+    store.setServer(fresh.store);
+    setLogLevel(fresh.logLevel);
+    callerServer.setOptions(callerServerOptions(settings, config.limits));
+    for (const Endpoint &node : fresh.seeds)
+        network.addSeed(node);
+    logEvent(Event::SettingsReloaded, {{"why", why}, {"store", settings.store.text()}});
+}
+
+void MeshNode::Parts::beginShutdown()
+{
+    if (stopping)
+        return;
+    stopping = true;
+    stoppingSince = timers.now();
+    logEvent(Event::NodeStopping, {{"requests", forwarder.openRequests()},
+                                   {"work", owner.openWork()}});
+    owner.setLeaving();
+    callerServer.closeAfterAnswers();
+    publishStatus(true);
+    shutdownTimer = Timer(
+            timers, timers.startPeriodic(ShutdownCheckPeriod, [this] { continueShutdown(); }));
+}
+
+void MeshNode::Parts::continueShutdown()
+{
+    const SteadyTime::duration since = timers.now() - stoppingSince;
+    const std::size_t open = callerServer.openRequests() + owner.openWork();
+    const bool done = since >= CallersLeaveTime && open == 0;
+    if (!done && since < settings.grace - GraceMargin)
+        return;
+    logEvent(Event::NodeStopped, {{"cut_off", open}});
+    g_main_loop_quit(loop);
+}
+
+MeshNode::MeshNode(const MeshSettings &settings, const std::string &settingsFile)
+    : m_parts(std::make_unique<Parts>(settings, settingsFile))
+{
+}
+
+MeshNode::~MeshNode() = default;
+
+absl::Status MeshNode::start()
+{
+    return m_parts->start();
+}
+
+void MeshNode::run()
+{
+    const GSourceFunc stop = [](gpointer data) -> gboolean {
+        static_cast<Parts *>(data)->beginShutdown();
+        return G_SOURCE_CONTINUE;
+    };
+    const GSourceFunc reload = [](gpointer data) -> gboolean {
+        static_cast<Parts *>(data)->reloadSettings("SIGHUP");
+        return G_SOURCE_CONTINUE;
+    };
+    const GlibSource hangUp = [&] {
+        GSource *source = g_unix_signal_source_new(SIGHUP);
+        g_source_set_callback(source, reload, m_parts.get(), nullptr);
+        return GlibSource(source);
+    }();
+    const auto stopOn = [&](int signal) {
+        GSource *source = g_unix_signal_source_new(signal);
+        g_source_set_callback(source, stop, m_parts.get(), nullptr);
+        return GlibSource(source);
+    };
+    const GlibSource terminate = stopOn(SIGTERM);
+    const GlibSource interrupt = stopOn(SIGINT);
+    g_main_loop_run(m_parts->loop);
+    flushLog();
+}
+
+} // namespace jacinthshift
--- /dev/null
+++ b/node/mesh_settings.cpp
@@ -0,0 +1,52 @@
+#include "node/mesh_settings.h"
+
+#include "core/text.h"
+
+namespace jacinthshift {
+
+MeshSettings readMeshSettings(const std::string &file, Problems &problems)
+{
+    MeshSettings settings;
+    const YAML::Node document = loadYamlFile(file, problems);
+    if (!document.IsDefined())
+        return settings;
+    YamlSection root(document, file, "the settings", problems);
+    settings.node = root.text("node");
+    settings.domain = root.text("failure_domain");
+    settings.service = root.text("service");
+    YamlSection listen = root.section("listen");
+    settings.callers = listen.endpoint("callers");
+    settings.readiness = listen.endpoint("readiness");
+    settings.control = listen.endpoint("control");
+    settings.links = listen.endpoint("links");
+    settings.metrics = listen.endpoint("metrics");
+    listen.finish();
+    YamlSection platform = root.section("platform");
+    settings.store = platform.endpoint("store");
+    platform.finish();
+    for (const std::string &text : root.texts("seeds")) {
+        const absl::StatusOr<Endpoint> seed = parseEndpoint(text);
+        if (!seed.ok()) {
+            root.note("seeds", joinText("seeds: ", std::string(seed.status().message())));
+            continue;
+        }
+        // Seeds are named by another address of theirs; the port of links is the same everywhere.
+        settings.seeds.push_back(
+                Endpoint{.address = seed->address, .port = settings.links.port});
+    }
+    YamlSection limits = root.section("limits");
+    settings.grace = limits.seconds("grace_seconds", settings.grace);
+    settings.retryRatio = limits.real("retry_ratio", settings.retryRatio);
+    settings.retrySlack = limits.real("retry_slack", settings.retrySlack);
+    settings.retryWindow = limits.seconds("retry_window_seconds", settings.retryWindow);
+    settings.canaryShare = limits.real("canary_share", settings.canaryShare);
+    settings.maxFiles = limits.number("max_files", settings.maxFiles);
+    limits.finish();
+    settings.logLevel =
+            static_cast<EventLevel>(root.choice("log_level", {"debug", "info", "warning", "error"},
+                                                static_cast<std::size_t>(EventLevel::Info)));
+    root.finish();
+    return settings;
+}
+
+} // namespace jacinthshift
--- a/scripts/check_layers.py
+++ b/scripts/check_layers.py
@@ -6,7 +6,7 @@
 import subprocess
 import sys
 
-LAYERS = ["core", "servers", "drivers", "modules", "node", "cli", "main", "tests"]
+LAYERS = ["core", "servers", "drivers", "modules", "platform", "node", "cli", "main", "tests"]
 # Modules and drivers stand side by side on the abstract servers.
 FORBIDDEN = {("modules", "drivers"), ("drivers", "modules")}
 INCLUDE = re.compile(r'^#include "([a-z_]+)/', re.MULTILINE)
--- a/servers/http_client.h
+++ b/servers/http_client.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <optional>
 
 #include "core/endpoint.h"
 #include "core/verdict.h"
@@ -36,6 +37,14 @@
 {
     Endpoint server;
     std::chrono::milliseconds timeout{1000};
+    std::chrono::milliseconds connectTimeout{1000};
+    /** A connection that was idle for longer is not used; unset means by the method. */
+    std::optional<std::chrono::milliseconds> maxIdle;
+    /**
+     * A header that the server repeats and its value in the request. An answer with another value
+     * belongs to an earlier request and is dropped; a success without it counts as malformed.
+     */
+    HttpHeader correlation;
 };
 
 /**
--- a/servers/http_server.h
+++ b/servers/http_server.h
@@ -1,6 +1,7 @@
 #ifndef SERVERS_HTTP_SERVER_H
 #define SERVERS_HTTP_SERVER_H
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -27,6 +28,11 @@
 struct HttpServerOptions
 {
     std::size_t maxBodyBytes = 1024 * 1024;
+    std::size_t maxHeaderBytes = 32 * 1024;
+    std::chrono::milliseconds headerTimeout{10'000}; ///< How long the head of a request may take.
+    std::chrono::milliseconds idleTimeout{60'000};   ///< How long a connection may be idle.
+    std::size_t maxConnections = 10'000;             ///< Past this new connections are closed.
+    std::size_t maxKeptConnections = 8'000; ///< Past this each answer ends its connection.
 };
 
 /** Listens for HTTP requests and hands over each one when its whole body has been read. */
