Epoll loop: the source may recurse, so GLib does not wake the loop for each round

Cause: GLib blocks a source that must not recurse while it dispatches; removing and adding its descriptor writes to the wake-up descriptor twice a round, so the loop never slept (strace: 2 writes and a read for every epoll_wait).

--- a/drivers/epoll/epoll_loop.cpp
+++ b/drivers/epoll/epoll_loop.cpp
@@ -39,7 +39,8 @@
     m_source->loop = this;
     m_source->descriptor = GPollFD{m_epoll, G_IO_IN, 0};
     g_source_add_poll(source, &m_source->descriptor);
-    g_source_set_can_recurse(source, FALSE);
+    // GLib blocks a source that must not recurse while it runs, which wakes the loop up again.
+    g_source_set_can_recurse(source, TRUE);
     g_source_attach(source, nullptr);
     g_main_context_set_poll_func(nullptr, poll);
 }
