--- a/drivers/websocket/websocket_session.cpp
+++ b/drivers/websocket/websocket_session.cpp
@@ -5,6 +5,7 @@
 #include <websocketpp/client.hpp>
 #include <websocketpp/config/core.hpp>
 #include <websocketpp/config/core_client.hpp>
+#include <websocketpp/extensions/permessage_deflate/enabled.hpp>
 #include <websocketpp/server.hpp>
 
 namespace jacinthshift {
@@ -12,8 +13,27 @@
 namespace {
 
 namespace lib = websocketpp::lib;
-using Server = websocketpp::server<websocketpp::config::core>;
-using Client = websocketpp::client<websocketpp::config::core_client>;
+/** Frames repeat names and headers; a shared window shrinks what crosses failure domains. */
+struct ServerConfig : websocketpp::config::core
+{
+    struct permessage_deflate_config // NOLINT(readability-identifier-naming)
+    {
+    };
+    using permessage_deflate_type =
+            websocketpp::extensions::permessage_deflate::enabled<permessage_deflate_config>;
+};
+
+struct ClientConfig : websocketpp::config::core_client
+{
+    struct permessage_deflate_config // NOLINT(readability-identifier-naming)
+    {
+    };
+    using permessage_deflate_type =
+            websocketpp::extensions::permessage_deflate::enabled<permessage_deflate_config>;
+};
+
+using Server = websocketpp::server<ServerConfig>;
+using Client = websocketpp::client<ClientConfig>;
 
 constexpr const char *Subprotocol = "jacinthshift.v1";
 
--- a/modules/fleet/call_server.cpp
+++ b/modules/fleet/call_server.cpp
@@ -52,8 +52,14 @@
 
 void CallServer::sendResult(const std::string &node, std::uint64_t call, const WorkResult &result)
 {
-    m_network.send(node, WorkResultMessage{
-                                 .call = call, .result = result, .backend = m_handler.status()});
+    const BackendStatus status = m_handler.status();
+    m_network.send(node, WorkResultMessage{.call = call,
+                                           .result = result,
+                                           .load = {.limit = status.limit,
+                                                    .running = status.running,
+                                                    .queued = status.queued,
+                                                    .startsPerSecond = status.startsPerSecond,
+                                                    .serviceTime = status.serviceTime}});
 }
 
 void CallServer::resume(const std::string &node, const WorkResumeMessage &message)
--- a/modules/fleet/fleet_network.cpp
+++ b/modules/fleet/fleet_network.cpp
@@ -214,7 +214,12 @@
         peer.statusAt = m_timers.now();
         peer.hasStatus = true;
     } else if (const WorkResultMessage *result = std::get_if<WorkResultMessage>(&*message)) {
-        peer.status.backend = result->backend;
+        BackendStatus &backend = peer.status.backend;
+        backend.limit = result->load.limit;
+        backend.running = result->load.running;
+        backend.queued = result->load.queued;
+        backend.startsPerSecond = result->load.startsPerSecond;
+        backend.serviceTime = result->load.serviceTime;
         peer.statusAt = m_timers.now();
     }
     for (FleetObserver *observer : m_observers)
--- a/modules/fleet/message_codec.cpp
+++ b/modules/fleet/message_codec.cpp
@@ -226,7 +226,11 @@
             result.response.status,
             packHeaders(result.response.headers),
             bytes(result.response.body),
-            encodeBackend(message.backend)};
+            message.load.limit,
+            message.load.running,
+            message.load.queued,
+            message.load.startsPerSecond,
+            message.load.serviceTime.count()};
 }
 
 void decode(const json &source, WorkResultMessage &message)
@@ -240,7 +244,11 @@
     source.at(5).get_to(result.response.status);
     result.response.headers = unpackHeaders(source.at(6));
     result.response.body = text(source.at(7));
-    message.backend = decodeBackend(source.at(8));
+    source.at(8).get_to(message.load.limit);
+    source.at(9).get_to(message.load.running);
+    source.at(10).get_to(message.load.queued);
+    source.at(11).get_to(message.load.startsPerSecond);
+    message.load.serviceTime = duration(source.at(12));
 }
 
 json encode(const WorkCancelMessage &message)
--- a/modules/fleet/messages.h
+++ b/modules/fleet/messages.h
@@ -114,11 +114,21 @@
     WorkRequest work;
 };
 
+/** The part of a backend server's status that changes with every request. */
+struct BackendLoad
+{
+    std::uint32_t limit = 0;
+    std::uint32_t running = 0;
+    std::uint32_t queued = 0;
+    std::uint32_t startsPerSecond = 0;
+    std::chrono::milliseconds serviceTime{0};
+};
+
 struct WorkResultMessage
 {
     std::uint64_t call = 0;
     WorkResult result;
-    BackendStatus backend;
+    BackendLoad load;
 };
 
 struct WorkCancelMessage
--- a/modules/forwarding/forwarder.cpp
+++ b/modules/forwarding/forwarder.cpp
@@ -76,6 +76,11 @@
 
 bool Forwarder::admit(const RequestPointer &request)
 {
+    if (m_closed) {
+        refuse(request->responder, request->requestId, StatusUnavailable,
+               m_options.retryAtOtherNode, "stopping");
+        return false;
+    }
     if (m_routes == nullptr) {
         refuse(request->responder, request->requestId, StatusUnavailable,
                m_options.retryWithoutConfig, "no-configuration");
@@ -160,7 +165,7 @@
     if (possible.empty() && request.version.mayFallBack) {
         possible = candidates(request, true);
     }
-    const std::optional<std::size_t> best = m_selector.choose(possible);
+    const std::optional<std::size_t> best = m_selector.choose(possible, untilTime(m_timers.now(), request.targetAt));
     if (!best)
         return std::nullopt;
     return possible[*best];
--- a/modules/forwarding/forwarder.h
+++ b/modules/forwarding/forwarder.h
@@ -35,6 +35,7 @@
     std::chrono::milliseconds defaultTimeout{10'000};
     std::chrono::milliseconds retryWithoutConfig{300};
     std::chrono::milliseconds retryWithoutOwner{250};
+    std::chrono::milliseconds retryAtOtherNode{50}; ///< For callers of a node that is stopping.
     std::chrono::milliseconds longestRetryAfter{1'000};
     /** A deadline shorter by this than the longest seen on the route belongs to a caller's retry. */
     std::chrono::milliseconds returningMargin{60};
@@ -90,6 +91,7 @@
     std::unordered_map<std::string, std::chrono::milliseconds> m_longestDeadline;
     std::unordered_map<std::uint64_t, RequestPointer> m_requests;
     std::uint64_t m_lastId = 0;
+    bool m_closed = false;
 
     bool admit(const RequestPointer &request);
     void setTimes(Request &request, const TrafficRoute &route);
@@ -118,6 +120,9 @@
     void setRoutes(RouteTable *routes) { m_routes = routes; }
     /** Takes one request and answers it through the responder. */
     void handle(HttpRequest request, std::shared_ptr<HttpResponder> responder);
+    /** Refuses all further requests; those under way are still answered. */
+    void close() { m_closed = true; }
+    bool isClosed() const { return m_closed; }
     std::size_t openRequests() const { return m_requests.size(); }
 };
 
--- a/modules/forwarding/owner_selector.cpp
+++ b/modules/forwarding/owner_selector.cpp
@@ -24,7 +24,8 @@
 
 } // namespace
 
-double OwnerSelector::cost(const OwnerCandidate &candidate, double fallbackServiceTime)
+double OwnerSelector::cost(const OwnerCandidate &candidate, double fallbackServiceTime,
+                           std::chrono::milliseconds targetLeft)
 {
     const BackendStatus &backend = candidate.backend;
     const double service = backend.serviceTime.count() > 0
@@ -43,11 +44,12 @@
         total += (load - limit + 1.0) * service / limit;
     total += service * m_options.failurePenalty * backend.failuresPerThousand / PerThousand;
     if (!candidate.sameDomain)
-        total += m_options.otherDomainMilliseconds;
+        total += m_options.otherDomainPart * static_cast<double>(targetLeft.count());
     return total * (1.0 + m_options.noise * m_random.unit());
 }
 
-std::optional<std::size_t> OwnerSelector::choose(const std::vector<OwnerCandidate> &candidates)
+std::optional<std::size_t> OwnerSelector::choose(const std::vector<OwnerCandidate> &candidates,
+                                                 std::chrono::milliseconds targetLeft)
 {
     const double fallback = meanServiceTime(candidates);
     std::optional<std::size_t> best;
@@ -56,7 +58,7 @@
     double lowestCold = 0.0;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const OwnerCandidate &candidate = candidates[i];
-        const double price = cost(candidate, fallback);
+        const double price = cost(candidate, fallback, targetLeft);
         const bool cold = candidate.backend.startsPerSecond > 0;
         std::optional<std::size_t> &winner = cold ? bestCold : best;
         double &winning = cold ? lowestCold : lowest;
--- a/modules/forwarding/owner_selector.h
+++ b/modules/forwarding/owner_selector.h
@@ -14,8 +14,11 @@
 
 struct OwnerSelectorOptions
 {
-    /** Added to an owner in another failure domain: two ways across, and the price of its bytes. */
-    double otherDomainMilliseconds = 6.0;
+    /**
+     * What an owner in another failure domain counts as slower, as a part of the target latency.
+     * Bytes between failure domains are dear, and a near owner that still answers in time will do.
+     */
+    double otherDomainPart = 0.35;
     /** How much a failing backend server's answers count as longer: at 1 in 10 by this part of 10. */
     double failurePenalty = 4.0;
     /** A backend server that is full to this part begins to count as slower. */
@@ -42,7 +45,8 @@
     OwnerSelectorOptions m_options;
     Random m_random;
 
-    double cost(const OwnerCandidate &candidate, double fallbackServiceTime);
+    double cost(const OwnerCandidate &candidate, double fallbackServiceTime,
+                std::chrono::milliseconds targetLeft);
 
 public:
     OwnerSelector(const OwnerSelectorOptions &options, std::uint64_t seed)
@@ -51,7 +55,8 @@
     }
 
     /** Returns the position of the best candidate, or nothing if there is none. */
-    std::optional<std::size_t> choose(const std::vector<OwnerCandidate> &candidates);
+    std::optional<std::size_t> choose(const std::vector<OwnerCandidate> &candidates,
+                                      std::chrono::milliseconds targetLeft);
 };
 
 } // namespace jacinthshift
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -436,6 +436,10 @@
 void MeshNode::Parts::continueShutdown()
 {
     const SteadyTime::duration since = timers.now() - stoppingSince;
+    if (since >= CallersLeaveTime && !forwarder.isClosed()) {
+        callerServer.stopListening();
+        forwarder.close();
+    }
     const std::size_t open = callerServer.openRequests() + owner.openWork();
     const bool done = since >= CallersLeaveTime && open == 0;
     if (!done && since < settings.grace - GraceMargin)
