--- a/drivers/websocket/websocket_link_transport.cpp
+++ b/drivers/websocket/websocket_link_transport.cpp
@@ -263,6 +263,12 @@
     return channel->session->send(frame) && !channel->dead;
 }
 
+void WebsocketLinkTransport::setCompression(LinkId link, bool compressed)
+{
+    if (const State::ChannelPointer channel = m_state->find(link))
+        channel->session->setCompression(compressed);
+}
+
 void WebsocketLinkTransport::close(LinkId link)
 {
     m_state->markDead(m_state->find(link));
--- a/drivers/websocket/websocket_link_transport.h
+++ b/drivers/websocket/websocket_link_transport.h
@@ -20,6 +20,7 @@
     absl::Status start(LinkObserver &observer) override;
     LinkId connect(const Endpoint &endpoint) override;
     bool send(LinkId link, const std::string &frame) override;
+    void setCompression(LinkId link, bool compressed) override;
     void close(LinkId link) override;
 };
 
--- a/drivers/websocket/websocket_session.cpp
+++ b/drivers/websocket/websocket_session.cpp
@@ -46,6 +46,7 @@
     typename Peer::connection_ptr m_connection;
     Events m_events;
     bool m_open = false;
+    bool m_compressed = false;
 
     SessionBase(Events events, std::size_t maxFrameBytes) : m_events(std::move(events))
     {
@@ -100,10 +101,15 @@
     {
         if (!m_open)
             return false;
-        const lib::error_code error = m_connection->send(frame, websocketpp::frame::opcode::binary);
-        return !error;
+        const typename Peer::message_ptr message =
+                m_connection->get_message(websocketpp::frame::opcode::binary, frame.size());
+        message->append_payload(frame);
+        message->set_compressed(m_compressed);
+        return !m_connection->send(message);
     }
 
+    void setCompression(bool compressed) override { m_compressed = compressed; }
+
     void disconnected() override { m_connection->eof(); }
 };
 
--- a/drivers/websocket/websocket_session.h
+++ b/drivers/websocket/websocket_session.h
@@ -34,6 +34,8 @@
     virtual void received(const char *data, std::size_t size) = 0;
     /** Sends one binary message. Returns false when the session is not open. */
     virtual bool send(const std::string &frame) = 0;
+    /** Says whether messages are compressed from now on. */
+    virtual void setCompression(bool compressed) = 0;
     /** Says that the connection below is gone. */
     virtual void disconnected() = 0;
 
--- a/modules/fleet/fleet_network.cpp
+++ b/modules/fleet/fleet_network.cpp
@@ -109,7 +109,7 @@
         entry = lost ? m_peers.erase(entry) : std::next(entry);
     }
     if (m_timers.now() >= m_nextHeartbeat)
-        sendStatus();
+        sendHeartbeats();
 }
 
 void FleetNetwork::maintain(FleetPeer &peer)
@@ -159,14 +159,30 @@
 void FleetNetwork::sendStatus()
 {
     m_nextHeartbeat = m_timers.now() + heartbeatPeriod();
+    for (auto &[node, peer] : m_peers)
+        peer.sentAt = m_timers.now();
     broadcast(m_status);
 }
 
+/** Peers in other failure domains hear a heartbeat only if nothing else was sent for a while. */
+void FleetNetwork::sendHeartbeats()
+{
+    const SteadyTime now = m_timers.now();
+    m_nextHeartbeat = now + heartbeatPeriod();
+    for (auto &[node, peer] : m_peers) {
+        const bool near = peer.contact.domain == m_options.self.domain;
+        if (!near && now - peer.sentAt < heartbeatPeriod() * m_options.farHeartbeatFactor)
+            continue;
+        send(node, m_status);
+    }
+}
+
 bool FleetNetwork::send(const std::string &node, const FleetMessage &message)
 {
     const auto found = m_peers.find(node);
     if (found == m_peers.end() || found->second.links.empty())
         return false;
+    found->second.sentAt = m_timers.now();
     return m_transport.send(found->second.links.back(), encodeFleetMessage(message));
 }
 
@@ -256,6 +272,8 @@
     peer.heardAt = m_timers.now();
     peer.reachableAt = peer.heardAt;
     peer.silent = false;
+    // Bytes between failure domains are dear, processor time within one is not worth it.
+    m_transport.setCompression(link, contact.domain != m_options.self.domain);
     logEvent(Event::LinkOpened, {{"peer", contact.node}, {"links", peer.links.size()}});
     m_transport.send(link, encodeFleetMessage(m_status));
     addContacts(greeting.contacts);
--- a/modules/fleet/fleet_network.h
+++ b/modules/fleet/fleet_network.h
@@ -23,7 +23,9 @@
     std::chrono::milliseconds heartbeat{300};
     std::size_t linksAtBaseRate = 16; ///< With more links the heartbeat slows down in proportion.
     std::chrono::milliseconds longestHeartbeat{1'000};
-    std::uint32_t heartbeatsMissed = 3; ///< After so many a link counts as silent.
+    std::uint32_t heartbeatsMissed = 4; ///< After so many a link counts as silent.
+    /** Between failure domains a heartbeat goes out only after so many periods without a message. */
+    std::int64_t farHeartbeatFactor = 2;
     std::chrono::milliseconds closeAfter{4'000}; ///< A link that is silent for longer is closed.
     std::chrono::milliseconds firstRedial{150};
     std::chrono::milliseconds longestRedial{1'500};
@@ -40,6 +42,7 @@
     StatusMessage status;
     SteadyTime statusAt;      ///< When the status came.
     SteadyTime heardAt;       ///< When anything came from it.
+    SteadyTime sentAt;        ///< When anything was last sent to it.
     bool hasStatus = false;
     std::vector<LinkId> links; ///< Greeted links, the newest last.
     LinkId dialing = LinkId::None;
@@ -87,6 +90,7 @@
     void dial(FleetPeer &peer);
     void learn(const NodeContact &contact);
     void sendStatus();
+    void sendHeartbeats();
     void greeted(LinkId link, const GreetingMessage &greeting);
     std::chrono::milliseconds heartbeatPeriod() const;
     std::chrono::milliseconds silenceLimit() const;
--- a/modules/forwarding/owner_selector.h
+++ b/modules/forwarding/owner_selector.h
@@ -18,12 +18,12 @@
      * What an owner in another failure domain counts as slower, as a part of the target latency.
      * Bytes between failure domains are dear, and a near owner that still answers in time will do.
      */
-    double otherDomainPart = 0.35;
+    double otherDomainPart = 0.5;
     /** How much a failing backend server's answers count as longer: at 1 in 10 by this part of 10. */
     double failurePenalty = 4.0;
     /** A backend server that is full to this part begins to count as slower. */
     double comfortableLoad = 0.6;
-    double crowdedPenalty = 0.8; ///< Part of the service time added to one that is just full.
+    double crowdedPenalty = 0.3; ///< Part of the service time added to one that is just full.
     double noise = 0.05;         ///< Part of the cost by which equal owners are told apart.
     /** Senders that share a cold backend server; each takes its part of what it bears. */
     double coldPreference = 0.5;
--- a/servers/link_transport.h
+++ b/servers/link_transport.h
@@ -48,6 +48,8 @@
     virtual LinkId connect(const Endpoint &endpoint) = 0;
     /** Queues a frame. Returns false when the link is not open or its queue is full. */
     virtual bool send(LinkId link, const std::string &frame) = 0;
+    /** Says whether frames on a link are compressed from now on; they are not at first. */
+    virtual void setCompression(LinkId link, bool compressed) = 0;
     /** Closes a link at once; the observer is told later. */
     virtual void close(LinkId link) = 0;
 };
