--- a/core/logger.cpp
+++ b/core/logger.cpp
@@ -159,8 +159,8 @@
 {
     using Sink = sinks::synchronous_sink<LogOutputBackend>;
     state().output = std::make_unique<LogOutput>(STDOUT_FILENO);
-    boost::shared_ptr<Sink> sink = boost::make_shared<Sink>(
-            boost::make_shared<LogOutputBackend>(*state().output));
+    boost::shared_ptr<Sink> sink =
+            boost::make_shared<Sink>(boost::make_shared<LogOutputBackend>(*state().output));
     sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
     boost::log::core::get()->add_sink(sink);
 }
--- a/drivers/beast/beast_http_client.cpp
+++ b/drivers/beast/beast_http_client.cpp
@@ -22,7 +22,8 @@
 constexpr std::size_t ReadBytes = 16 * 1024;
 constexpr std::uint32_t MaxHeaderBytes = 32 * 1024;
 
-/** Returns how long a connection may be idle by the Keep-Alive header, or zero if it is not told. */
+/** Returns how long a connection may be idle by the Keep-Alive header, or zero if it is not told.
+ */
 std::chrono::milliseconds keepAliveTime(const http::response<http::string_body> &message)
 {
     constexpr std::string_view Key = "timeout=";
@@ -323,17 +324,17 @@
     m_state->active.emplace(id, connection);
 
     EpollLoop &loop = EpollLoop::instance();
-    raw->timeout = Timer(loop, loop.startOnce(options.timeout,
-                                              [raw] { raw->fail(HttpFailure::TimedOut); }));
+    raw->timeout = Timer(
+            loop, loop.startOnce(options.timeout, [raw] { raw->fail(HttpFailure::TimedOut); }));
     if (raw->connected) {
         raw->beginWrite();
         return id;
     }
     if (raw->socket.connect(options.server, m_state->options.localAddress)) {
         raw->socket.waitWritable([raw] { raw->continueConnect(); });
-        raw->connectTimeout =
-                Timer(loop, loop.startOnce(options.connectTimeout,
-                                           [raw] { raw->fail(HttpFailure::ConnectFailed); }));
+        raw->connectTimeout = Timer(loop, loop.startOnce(options.connectTimeout, [raw] {
+            raw->fail(HttpFailure::ConnectFailed);
+        }));
         return id;
     }
     raw->timeout = Timer(loop, loop.startOnce(std::chrono::milliseconds(0),
--- a/drivers/beast/beast_http_server.cpp
+++ b/drivers/beast/beast_http_server.cpp
@@ -334,8 +334,7 @@
     m_state->handler = std::move(handler);
     EpollLoop &loop = EpollLoop::instance();
     State *state = m_state.get();
-    m_state->sweepTimer =
-            Timer(loop, loop.startPeriodic(SweepPeriod, [state] { state->sweep(); }));
+    m_state->sweepTimer = Timer(loop, loop.startPeriodic(SweepPeriod, [state] { state->sweep(); }));
     return m_state->listener.listen(endpoint,
                                     [state](int descriptor) { state->accepted(descriptor); });
 }
--- a/drivers/beast/http_wire.h
+++ b/drivers/beast/http_wire.h
@@ -8,7 +8,8 @@
 
 namespace jacinthshift {
 
-/** Returns the bytes of a request. A Host header of the request goes before the server's address. */
+/** Returns the bytes of a request. A Host header of the request goes before the server's address.
+ */
 std::string requestBytes(const Endpoint &server, const HttpRequest &request);
 
 /** Returns the bytes of an answer; keepAlive tells whether the connection stays open behind it. */
--- a/drivers/tcp/tcp_listener.cpp
+++ b/drivers/tcp/tcp_listener.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-constexpr int ListenBacklog = 1024;   ///< A full queue drops openings, which return after seconds.
-constexpr int AcceptsPerRound = 64;   ///< Leaves time for open connections in a reconnect storm.
+constexpr int ListenBacklog = 1024; ///< A full queue drops openings, which return after seconds.
+constexpr int AcceptsPerRound = 64; ///< Leaves time for open connections in a reconnect storm.
 
 } // namespace
 
@@ -52,8 +52,7 @@
 void TcpListener::descriptorReady(std::uint32_t)
 {
     for (int i = 0; i < AcceptsPerRound && m_descriptor >= 0; ++i) {
-        const int accepted =
-                accept4(m_descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        const int accepted = accept4(m_descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (accepted < 0)
             return;
         m_accepted(accepted);
--- a/modules/feed/table_sync.cpp
+++ b/modules/feed/table_sync.cpp
@@ -50,8 +50,7 @@
         const bool near = peer.contact.domain == m_network.self().domain;
         const bool failed = m_fetching && node == m_fetchedFrom;
         const bool better = best == nullptr || (near && !bestIsNear)
-                            || (near == bestIsNear
-                                && peer.status.tableEnd > best->status.tableEnd);
+                            || (near == bestIsNear && peer.status.tableEnd > best->status.tableEnd);
         if (failed || !better)
             continue;
         best = &peer;
--- a/modules/feed/table_sync.h
+++ b/modules/feed/table_sync.h
@@ -23,8 +23,9 @@
 };
 
 /**
- * Spreads the operator's table among the nodes: a few of each failure domain read the log, the others
- * fetch from them. Whoever is behind any other node fetches, so a node without the log keeps up.
+ * Spreads the operator's table among the nodes: a few of each failure domain read the log, the
+ * others fetch from them. Whoever is behind any other node fetches, so a node without the log keeps
+ * up.
  */
 class TableSync final : public FleetObserver
 {
--- a/modules/fleet/call_server.cpp
+++ b/modules/fleet/call_server.cpp
@@ -35,9 +35,10 @@
     if (m_running.contains(key) || m_results.contains(key))
         return;
     m_running[key] = 0;
-    const std::uint64_t id = m_handler.run(
-            message.work,
-            [this, node, key](const WorkResult &result) { finished(node, key, result); });
+    const std::uint64_t id =
+            m_handler.run(message.work, [this, node, key](const WorkResult &result) {
+                finished(node, key, result);
+            });
     const auto running = m_running.find(key);
     if (running != m_running.end())
         running->second = id;
--- a/modules/fleet/fleet_network.cpp
+++ b/modules/fleet/fleet_network.cpp
@@ -33,9 +33,9 @@
 std::chrono::milliseconds FleetNetwork::heartbeatPeriod() const
 {
     const std::size_t links = std::max(m_links.size(), m_options.linksAtBaseRate);
-    const std::chrono::milliseconds stretched = m_options.heartbeat
-                                                * static_cast<std::int64_t>(links)
-                                                / static_cast<std::int64_t>(m_options.linksAtBaseRate);
+    const std::chrono::milliseconds stretched =
+            m_options.heartbeat * static_cast<std::int64_t>(links)
+            / static_cast<std::int64_t>(m_options.linksAtBaseRate);
     return std::min(stretched, m_options.longestHeartbeat);
 }
 
@@ -123,11 +123,10 @@
         const bool wasSilent = peer.silent;
         peer.silent = silence > silenceLimit();
         if (peer.silent && !wasSilent) {
-            logEvent(Event::PeerSilent, {{"peer", peer.contact.node},
-                                         {"silent_ms",
-                                          std::chrono::duration_cast<std::chrono::milliseconds>(
-                                                  silence)
-                                                  .count()}});
+            logEvent(Event::PeerSilent,
+                     {{"peer", peer.contact.node},
+                      {"silent_ms",
+                       std::chrono::duration_cast<std::chrono::milliseconds>(silence).count()}});
             peer.nextDial = now;
         }
         if (silence > m_options.closeAfter) {
--- a/modules/fleet/fleet_network.h
+++ b/modules/fleet/fleet_network.h
@@ -19,12 +19,14 @@
 {
     NodeContact self;
     std::uint64_t seed = 0;
-    /** Between two heartbeats on a link; stretched by the number of links, see heartbeatPeriod(). */
+    /** Between two heartbeats on a link; stretched by the number of links, see heartbeatPeriod().
+     */
     std::chrono::milliseconds heartbeat{300};
     std::size_t linksAtBaseRate = 16; ///< With more links the heartbeat slows down in proportion.
     std::chrono::milliseconds longestHeartbeat{1'000};
     std::uint32_t heartbeatsMissed = 4; ///< After so many a link counts as silent.
-    /** Between failure domains a heartbeat goes out only after so many periods without a message. */
+    /** Between failure domains a heartbeat goes out only after so many periods without a message.
+     */
     std::int64_t farHeartbeatFactor = 2;
     std::chrono::milliseconds closeAfter{4'000}; ///< A link that is silent for longer is closed.
     std::chrono::milliseconds firstRedial{150};
@@ -40,9 +42,9 @@
 {
     NodeContact contact;
     StatusMessage status;
-    SteadyTime statusAt;      ///< When the status came.
-    SteadyTime heardAt;       ///< When anything came from it.
-    SteadyTime sentAt;        ///< When anything was last sent to it.
+    SteadyTime statusAt; ///< When the status came.
+    SteadyTime heardAt;  ///< When anything came from it.
+    SteadyTime sentAt;   ///< When anything was last sent to it.
     bool hasStatus = false;
     std::vector<LinkId> links; ///< Greeted links, the newest last.
     LinkId dialing = LinkId::None;
--- a/modules/fleet/message_codec.cpp
+++ b/modules/fleet/message_codec.cpp
@@ -99,8 +99,7 @@
 
 BackendStatus decodeBackend(const json &source)
 {
-    return BackendStatus{.availability =
-                                 enumerator(source.at(0), BackendAvailability::Draining),
+    return BackendStatus{.availability = enumerator(source.at(0), BackendAvailability::Draining),
                          .id = source.at(1),
                          .service = source.at(2),
                          .version = source.at(3),
@@ -365,8 +364,8 @@
 
 std::string encodeFleetMessage(const FleetMessage &message)
 {
-    const json fields = std::visit([](const auto &alternative) { return encode(alternative); },
-                                   message);
+    const json fields =
+            std::visit([](const auto &alternative) { return encode(alternative); }, message);
     json whole = json::array();
     whole.push_back(message.index());
     whole.push_back(fields);
--- a/modules/fleet/messages.h
+++ b/modules/fleet/messages.h
@@ -47,10 +47,10 @@
     std::string id;
     std::string service;
     std::string version;
-    std::uint32_t limit = 0;   ///< Requests that may run at once.
+    std::uint32_t limit = 0; ///< Requests that may run at once.
     std::uint32_t running = 0;
     std::uint32_t queued = 0;
-    std::uint32_t startsPerSecond = 0; ///< Zero unless the backend server is cold.
+    std::uint32_t startsPerSecond = 0;        ///< Zero unless the backend server is cold.
     std::chrono::milliseconds serviceTime{0}; ///< Mean of the last requests.
     std::uint32_t failuresPerThousand = 0;    ///< Of the last requests.
     bool braked = false; ///< Its version was found faulty and takes no new work.
@@ -75,8 +75,8 @@
     std::string callerService;
     std::uint32_t priority = 0;
     bool idempotent = false;
-    bool returning = false; ///< The caller has tried before.
-    bool repeat = false;    ///< An earlier try may have run.
+    bool returning = false;                  ///< The caller has tried before.
+    bool repeat = false;                     ///< An earlier try may have run.
     std::chrono::milliseconds timeLeft{0};   ///< Until the caller gives up or the route's timeout.
     std::chrono::milliseconds targetLeft{0}; ///< Until the answer loses most of its use.
 };
@@ -95,7 +95,7 @@
     Lost,        ///< The connection ended, or the link did.
     Malformed,   ///< The answer was not a whole HTTP answer to this request.
     TimedOut,
-    Suspected,   ///< It has crashed backend servers.
+    Suspected, ///< It has crashed backend servers.
 };
 
 /** The outcome of a request at its owner. */
--- a/modules/fleet/remote_caller.cpp
+++ b/modules/fleet/remote_caller.cpp
@@ -8,8 +8,7 @@
 
 WorkResult lostResult(WorkRefusal reason)
 {
-    return WorkResult{
-            .verdict = Verdict::MayHaveRun, .refusal = reason, .reachedBackend = true};
+    return WorkResult{.verdict = Verdict::MayHaveRun, .refusal = reason, .reachedBackend = true};
 }
 
 } // namespace
@@ -34,8 +33,7 @@
     ++m_perNode[node];
     if (!m_network.send(node, WorkCallMessage{.call = id, .work = work})) {
         m_timers.startOnce(std::chrono::milliseconds(0), [this, id] {
-            finish(id, WorkResult{.verdict = Verdict::NotRun,
-                                  .refusal = WorkRefusal::Unreachable});
+            finish(id, WorkResult{.verdict = Verdict::NotRun, .refusal = WorkRefusal::Unreachable});
         });
     }
     return id;
--- a/modules/fleet/remote_caller.h
+++ b/modules/fleet/remote_caller.h
@@ -18,8 +18,8 @@
 /**
  * Hands requests to the owners of backend servers on other nodes.
  *
- * A call belongs to the owner's process, not to a connection: when a link is lost or goes silent the
- * results are asked for over the next one. So a lost connection costs a delay, not the request.
+ * A call belongs to the owner's process, not to a connection: when a link is lost or goes silent
+ * the results are asked for over the next one. So a lost connection costs a delay, not the request.
  */
 class RemoteCaller final : public FleetObserver
 {
--- /dev/null
+++ b/modules/fleet/tests/test_fleet_codec.cpp
@@ -0,0 +1,79 @@
+#include <catch2/catch.hpp>
+
+#include "core/random.h"
+#include "modules/fleet/message_codec.h"
+
+namespace jacinthshift {
+
+namespace {
+
+WorkCallMessage sampleCall()
+{
+    return WorkCallMessage{.call = 7,
+                           .work = {.request = {.method = "POST",
+                                                .target = "/a/b?c=\xff",
+                                                .headers = {{"Request-Id", "1: 2"}, {"X", ""}},
+                                                .body = std::string("\0\xfe", 2)},
+                                    .route = "r",
+                                    .service = "s",
+                                    .version = "v2",
+                                    .priority = 3,
+                                    .idempotent = true,
+                                    .timeLeft = std::chrono::milliseconds(800)}};
+}
+
+} // namespace
+
+TEST_CASE("a call survives the codec with all its bytes")
+{
+    const absl::StatusOr<FleetMessage> read = decodeFleetMessage(encodeFleetMessage(sampleCall()));
+    REQUIRE(read.ok());
+    const WorkCallMessage &call = std::get<WorkCallMessage>(*read);
+    CHECK(call.call == 7);
+    CHECK(call.work.request.target == "/a/b?c=\xff");
+    CHECK(call.work.request.body == std::string("\0\xfe", 2));
+    REQUIRE(call.work.request.headers.size() == 2);
+    CHECK(call.work.request.headers[0].value == "1: 2");
+    CHECK(call.work.request.headers[1].value.empty());
+    CHECK(call.work.version == "v2");
+    CHECK(call.work.timeLeft == std::chrono::milliseconds(800));
+}
+
+TEST_CASE("every kind of message survives the codec")
+{
+    const std::vector<FleetMessage> messages = {
+            GreetingMessage{.self = {.node = "n", .links = {"127.0.0.1", 1}}},
+            StatusMessage{.tableEnd = 4, .backend = {.id = "i", .limit = 3}},
+            WorkResultMessage{.call = 1, .result = {.refusal = WorkRefusal::Full}},
+            WorkCancelMessage{.call = 9},
+            WorkResumeMessage{.calls = {1, 2}},
+            TableFetchMessage{.from = 12},
+            TableNewsMessage{.page = {.records = {{"k", "v", 3}}, .end = 4}},
+            VersionEvidenceMessage{.service = "s", .routes = {{.route = "r"}}},
+            CrashSuspectMessage{.fingerprint = ~0ULL, .backend = "b"},
+            RolloutProgressMessage{.step = 2, .outcome = RolloutOutcome::RolledBack}};
+    for (const FleetMessage &message : messages) {
+        INFO(message.index());
+        const absl::StatusOr<FleetMessage> read = decodeFleetMessage(encodeFleetMessage(message));
+        REQUIRE(read.ok());
+        CHECK(read->index() == message.index());
+        CHECK(encodeFleetMessage(*read) == encodeFleetMessage(message));
+    }
+}
+
+TEST_CASE("damaged frames are refused or read, and never end the process")
+{
+    Random random(42);
+    const std::string frame = encodeFleetMessage(sampleCall());
+    for (int i = 0; i < 20'000; ++i) {
+        std::string damaged = frame;
+        for (std::uint64_t hits = 1 + random.below(4); hits > 0; --hits)
+            damaged[random.below(damaged.size())] = static_cast<char>(random.below(256));
+        damaged.resize(random.below(damaged.size() + 1));
+        const absl::StatusOr<FleetMessage> read = decodeFleetMessage(damaged);
+        if (!read.ok())
+            REQUIRE(absl::IsInvalidArgument(read.status()));
+    }
+}
+
+} // namespace jacinthshift
--- /dev/null
+++ b/modules/fleet/tests/test_remote_calls.cpp
@@ -0,0 +1,184 @@
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+#include "modules/fleet/call_server.h"
+#include "modules/fleet/remote_caller.h"
+#include "tests/support/fake_link_hub.h"
+
+namespace jacinthshift {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/** Keeps the work that it is given until the test finishes it. */
+class HeldWork final : public WorkHandler
+{
+public:
+    std::map<std::uint64_t, Callback> open;
+    std::uint64_t lastId = 0;
+    int started = 0;
+    int cancelled = 0;
+
+    std::uint64_t run(const WorkRequest &, Callback callback) override
+    {
+        ++started;
+        open[++lastId] = std::move(callback);
+        return lastId;
+    }
+    void cancel(std::uint64_t id) override { cancelled += static_cast<int>(open.erase(id)); }
+    BackendStatus status() const override { return {.limit = 10, .running = 1}; }
+
+    void finishAll()
+    {
+        const std::map<std::uint64_t, Callback> finished = std::exchange(open, {});
+        for (const auto &[id, callback] : finished) {
+            callback(WorkResult{.verdict = Verdict::Done,
+                                .reachedBackend = true,
+                                .response = {.status = 200, .body = "done"}});
+        }
+    }
+};
+
+struct TestNode
+{
+    FakeLinkTransport transport;
+    FleetNetwork network;
+    HeldWork work;
+    CallServer server;
+    RemoteCaller caller;
+
+    TestNode(FakeLinkHub &hub, const std::string &name, std::uint16_t port,
+             std::uint64_t incarnation = 1)
+        : transport(hub, Endpoint{"127.0.0.1", port})
+        , network(FleetNetworkOptions{.self = {.node = name,
+                                               .domain = "d",
+                                               .links = {"127.0.0.1", port},
+                                               .incarnation = incarnation}},
+                  transport, hub.timers)
+        , server(CallServerOptions{}, network, hub.timers, work)
+        , caller(RemoteCallerOptions{}, network, hub.timers)
+    {
+        REQUIRE(network.start().ok());
+    }
+};
+
+struct TwoNodes
+{
+    ManualTimerService timers;
+    FakeLinkHub hub{timers};
+    TestNode a{hub, "a", 1};
+    TestNode b{hub, "b", 2};
+    std::optional<WorkResult> result;
+
+    TwoNodes()
+    {
+        a.network.addContacts({b.network.self()});
+        timers.advance(milliseconds(100));
+    }
+
+    std::uint64_t call()
+    {
+        return a.caller.call("b", WorkRequest{.timeLeft = milliseconds(3'000)},
+                             [this](const WorkResult &answer) { result = answer; });
+    }
+};
+
+} // namespace
+
+TEST_CASE("a request runs at its owner and its result comes back")
+{
+    TwoNodes nodes;
+    nodes.call();
+    nodes.timers.advance(milliseconds(10));
+    nodes.b.work.finishAll();
+    nodes.timers.advance(milliseconds(10));
+    REQUIRE(nodes.result.has_value());
+    CHECK(nodes.result->verdict == Verdict::Done);
+    CHECK(nodes.result->response.body == "done");
+}
+
+TEST_CASE("a reset link costs a delay and not the request")
+{
+    TwoNodes nodes;
+    nodes.call();
+    nodes.timers.advance(milliseconds(10));
+    nodes.a.transport.closeAll();
+    nodes.timers.advance(milliseconds(5));
+    nodes.b.work.finishAll();
+    nodes.timers.advance(milliseconds(500));
+    REQUIRE(nodes.result.has_value());
+    CHECK(nodes.result->verdict == Verdict::Done);
+    CHECK(nodes.b.work.started == 1);
+}
+
+TEST_CASE("a link that goes silent for good is replaced, and results come over the new one")
+{
+    TwoNodes nodes;
+    nodes.call();
+    nodes.timers.advance(milliseconds(10));
+    nodes.a.transport.silenceAll();
+    nodes.b.work.finishAll();
+    nodes.timers.advance(milliseconds(2'500));
+    REQUIRE(nodes.result.has_value());
+    CHECK(nodes.result->verdict == Verdict::Done);
+    CHECK(nodes.b.work.started == 1);
+}
+
+TEST_CASE("a call that never arrived is reported as not run and cannot start later")
+{
+    TwoNodes nodes;
+    nodes.a.transport.silenceAll();
+    nodes.call();
+    nodes.timers.advance(milliseconds(2'500));
+    REQUIRE(nodes.result.has_value());
+    CHECK(nodes.result->verdict == Verdict::NotRun);
+    CHECK(nodes.b.work.started == 0);
+}
+
+TEST_CASE("after the owner's process was replaced nobody knows whether the request ran")
+{
+    ManualTimerService timers;
+    FakeLinkHub hub(timers);
+    TestNode a(hub, "a", 1);
+    std::optional<TestNode> b;
+    b.emplace(hub, "b", 2, 1);
+    a.network.addContacts({b->network.self()});
+    timers.advance(milliseconds(100));
+    std::optional<WorkResult> result;
+    a.caller.call("b", WorkRequest{.timeLeft = milliseconds(3'000)},
+                  [&](const WorkResult &answer) { result = answer; });
+    timers.advance(milliseconds(10));
+    b->transport.closeAll();
+    timers.advance(milliseconds(5));
+    TestNode successor(hub, "b", 2, 2);
+    timers.advance(milliseconds(1'000));
+    REQUIRE(result.has_value());
+    CHECK(result->verdict == Verdict::MayHaveRun);
+}
+
+TEST_CASE("when the caller gives a request up its owner stops the work")
+{
+    TwoNodes nodes;
+    const std::uint64_t call = nodes.call();
+    nodes.timers.advance(milliseconds(10));
+    nodes.a.caller.cancel(call);
+    nodes.timers.advance(milliseconds(10));
+    CHECK(nodes.b.work.cancelled == 1);
+    CHECK_FALSE(nodes.result.has_value());
+    CHECK(nodes.a.caller.outstanding("b") == 0);
+}
+
+TEST_CASE("nodes learn of each other through a node that both know")
+{
+    TwoNodes nodes;
+    TestNode c(nodes.hub, "c", 3);
+    c.network.addContacts({nodes.b.network.self()});
+    nodes.timers.advance(milliseconds(1'000));
+    const FleetPeer *peer = c.network.peer("a");
+    REQUIRE(peer != nullptr);
+    CHECK(c.network.isReachable(*peer));
+}
+
+} // namespace jacinthshift
--- a/modules/forwarding/forwarder.cpp
+++ b/modules/forwarding/forwarder.cpp
@@ -53,8 +53,7 @@
     taken->id = ++m_lastId;
     taken->request = std::move(request);
     taken->responder = std::move(responder);
-    taken->requestId =
-            std::string(findHeader(taken->request.headers, m_options.headers.requestId));
+    taken->requestId = std::string(findHeader(taken->request.headers, m_options.headers.requestId));
     taken->arrivedAt = m_timers.now();
     if (!admit(taken))
         return;
@@ -65,12 +64,11 @@
         if (const RequestPointer left = weak.lock())
             callerGone(left);
     });
-    taken->timeout = Timer(m_timers, m_timers.startOnce(untilTime(m_timers.now(), taken->deadline),
-                                                        [this, weak] {
-                                                            if (const RequestPointer late =
-                                                                        weak.lock())
-                                                                timedOut(late);
-                                                        }));
+    taken->timeout = Timer(
+            m_timers, m_timers.startOnce(untilTime(m_timers.now(), taken->deadline), [this, weak] {
+                if (const RequestPointer late = weak.lock())
+                    timedOut(late);
+            }));
     tryNext(taken);
 }
 
@@ -91,11 +89,11 @@
                std::chrono::milliseconds(0), "no-request-id");
         return false;
     }
-    ActiveRoute *route = m_routes->find(findHeader(request->request.headers, "host"),
-                                        request->request.target);
+    ActiveRoute *route =
+            m_routes->find(findHeader(request->request.headers, "host"), request->request.target);
     if (route == nullptr) {
-        refuse(request->responder, request->requestId, StatusNotFound,
-               std::chrono::milliseconds(0), "no-route");
+        refuse(request->responder, request->requestId, StatusNotFound, std::chrono::milliseconds(0),
+               "no-route");
         return false;
     }
     const TrafficRoute &settings = route->settings();
@@ -129,8 +127,8 @@
         timeout = std::min(timeout, wanted);
     }
     request.deadline = request.arrivedAt + timeout;
-    request.targetAt = request.arrivedAt + std::clamp(target - spent,
-                                                      std::chrono::milliseconds(0), timeout);
+    request.targetAt =
+            request.arrivedAt + std::clamp(target - spent, std::chrono::milliseconds(0), timeout);
 }
 
 std::vector<OwnerCandidate> Forwarder::candidates(const Request &request, bool anyVersion) const
@@ -142,8 +140,8 @@
                           && backend.service == request.service && !backend.braked
                           && (request.version.allows(backend.version)
                               || (anyVersion && backend.version != request.version.excluded));
-        const bool tried = std::find(request.tried.begin(), request.tried.end(), node)
-                           != request.tried.end();
+        const bool tried =
+                std::find(request.tried.begin(), request.tried.end(), node) != request.tried.end();
         if (!fits || tried)
             return;
         found.push_back(OwnerCandidate{.node = node,
@@ -165,7 +163,8 @@
     if (possible.empty() && request.version.mayFallBack) {
         possible = candidates(request, true);
     }
-    const std::optional<std::size_t> best = m_selector.choose(possible, untilTime(m_timers.now(), request.targetAt));
+    const std::optional<std::size_t> best =
+            m_selector.choose(possible, untilTime(m_timers.now(), request.targetAt));
     if (!best)
         return std::nullopt;
     return possible[*best];
@@ -313,10 +312,10 @@
 {
     stopCall(*request);
     m_metrics.callerGone();
-    logEvent(Event::CallerGone, {{"request", request->requestId},
-                                 {"route", request->route},
-                                 {"after_ms",
-                                  untilTime(request->arrivedAt, m_timers.now()).count()}});
+    logEvent(Event::CallerGone,
+             {{"request", request->requestId},
+              {"route", request->route},
+              {"after_ms", untilTime(request->arrivedAt, m_timers.now()).count()}});
     m_requests.erase(request->id);
 }
 
@@ -332,8 +331,7 @@
 }
 
 HttpResponse Forwarder::refusal(int status, const std::string &requestId,
-                                std::chrono::milliseconds retryAfter,
-                                std::string_view reason) const
+                                std::chrono::milliseconds retryAfter, std::string_view reason) const
 {
     HttpResponse response{.status = status};
     if (!requestId.empty())
@@ -353,8 +351,7 @@
                        std::chrono::milliseconds retryAfter, std::string_view reason)
 {
     m_metrics.requestAnswered("", status, reason, std::chrono::microseconds(0));
-    logEvent(Event::RouteRefused,
-             {{"request", requestId}, {"status", status}, {"reason", reason}});
+    logEvent(Event::RouteRefused, {{"request", requestId}, {"status", status}, {"reason", reason}});
     responder->respond(refusal(status, requestId, retryAfter, reason));
 }
 
--- a/modules/forwarding/forwarder.h
+++ b/modules/forwarding/forwarder.h
@@ -30,22 +30,24 @@
     std::uint64_t seed = 0;
     /** Owners that are asked at most; refusals of owners cost no backend server anything. */
     std::uint32_t maxHandOvers = 4;
-    /** An answer that would come with less than this part of the usual service time is not tried. */
+    /** An answer that would come with less than this part of the usual service time is not tried.
+     */
     std::chrono::milliseconds leastTimeForRetry{60};
     std::chrono::milliseconds defaultTimeout{10'000};
     std::chrono::milliseconds retryWithoutConfig{300};
     std::chrono::milliseconds retryWithoutOwner{250};
     std::chrono::milliseconds retryAtOtherNode{50}; ///< For callers of a node that is stopping.
     std::chrono::milliseconds longestRetryAfter{1'000};
-    /** A deadline shorter by this than the longest seen on the route belongs to a caller's retry. */
+    /** A deadline shorter by this than the longest seen on the route belongs to a caller's retry.
+     */
     std::chrono::milliseconds returningMargin{60};
 };
 
 /**
  * Takes callers' requests on this VM, finds the route and an owner for each, and answers.
  *
- * A request goes to a further owner while it has certainly not run; one that may have run only if it
- * is idempotent, within the retry budget and the route's number of attempts.
+ * A request goes to a further owner while it has certainly not run; one that may have run only if
+ * it is idempotent, within the retry budget and the route's number of attempts.
  */
 class Forwarder
 {
--- a/modules/forwarding/owner_selector.cpp
+++ b/modules/forwarding/owner_selector.cpp
@@ -37,8 +37,8 @@
     const double fill = load / limit;
     if (fill > m_options.comfortableLoad) {
         total += service * m_options.crowdedPenalty
-                 * std::min(1.0, (fill - m_options.comfortableLoad)
-                                         / (1.0 - m_options.comfortableLoad));
+                 * std::min(1.0,
+                            (fill - m_options.comfortableLoad) / (1.0 - m_options.comfortableLoad));
     }
     if (load >= limit)
         total += (load - limit + 1.0) * service / limit;
@@ -67,7 +67,8 @@
         winner = i;
         winning = price;
     }
-    // A cold backend server warms up with a few requests; most go to the others while there are any.
+    // A cold backend server warms up with a few requests; most go to the others while there are
+    // any.
     if (best && bestCold
         && m_random.unit() < m_options.coldPreference / static_cast<double>(candidates.size()))
         return bestCold;
--- a/modules/forwarding/owner_selector.h
+++ b/modules/forwarding/owner_selector.h
@@ -19,7 +19,8 @@
      * Bytes between failure domains are dear, and a near owner that still answers in time will do.
      */
     double otherDomainPart = 0.5;
-    /** How much a failing backend server's answers count as longer: at 1 in 10 by this part of 10. */
+    /** How much a failing backend server's answers count as longer: at 1 in 10 by this part of 10.
+     */
     double failurePenalty = 4.0;
     /** A backend server that is full to this part begins to count as slower. */
     double comfortableLoad = 0.6;
--- /dev/null
+++ b/modules/forwarding/tests/test_owner_selector.cpp
@@ -0,0 +1,87 @@
+#include <catch2/catch.hpp>
+
+#include <map>
+
+#include "modules/forwarding/owner_selector.h"
+
+namespace jacinthshift {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+OwnerCandidate candidate(const std::string &node, bool sameDomain, std::uint32_t running,
+                         milliseconds serviceTime = milliseconds(100))
+{
+    return OwnerCandidate{.node = node,
+                          .sameDomain = sameDomain,
+                          .backend = {.availability = BackendAvailability::Ready,
+                                      .limit = 10,
+                                      .running = running,
+                                      .serviceTime = serviceTime}};
+}
+
+std::map<std::string, int> choices(const std::vector<OwnerCandidate> &candidates)
+{
+    OwnerSelector selector(OwnerSelectorOptions{}, 7);
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 1'000; ++i) {
+        const std::optional<std::size_t> chosen = selector.choose(candidates, milliseconds(500));
+        REQUIRE(chosen.has_value());
+        ++counts[candidates[*chosen].node];
+    }
+    return counts;
+}
+
+} // namespace
+
+TEST_CASE("an owner of the own failure domain is taken while it answers in time")
+{
+    CHECK(choices({candidate("near", true, 10), candidate("far", false, 0)})["near"] == 1'000);
+}
+
+TEST_CASE("surge in one failure domain: what would come late there goes to another one")
+{
+    OwnerCandidate near = candidate("near", true, 10);
+    near.backend.queued = 40;
+    CHECK(choices({near, candidate("far", false, 2)})["far"] == 1'000);
+}
+
+TEST_CASE("slow minority: the slow backend server gets nothing while others have room")
+{
+    CHECK(choices({candidate("slow", true, 0, milliseconds(1'000)),
+                   candidate("good", true, 8)})["slow"]
+          == 0);
+}
+
+TEST_CASE("failing minority with good checks: the failing backend server is avoided")
+{
+    OwnerCandidate failing = candidate("failing", true, 0);
+    failing.backend.failuresPerThousand = 450;
+    CHECK(choices({failing, candidate("good", true, 6)})["failing"] == 0);
+}
+
+TEST_CASE("own calls that the owner's status does not show yet count as its load")
+{
+    OwnerCandidate busy = candidate("busy", true, 0);
+    busy.outstanding = 30;
+    CHECK(choices({busy, candidate("free", true, 5)})["busy"] == 0);
+}
+
+TEST_CASE("cold return: a cold backend server gets a few requests while warm ones have room")
+{
+    OwnerCandidate cold = candidate("cold", true, 0);
+    cold.backend.startsPerSecond = 30;
+    const std::map<std::string, int> counts =
+            choices({cold, candidate("warm", true, 3), candidate("warm2", true, 3)});
+    CHECK(counts.at("cold") > 50);
+    CHECK(counts.at("cold") < 300);
+}
+
+TEST_CASE("without candidates there is no choice")
+{
+    OwnerSelector selector(OwnerSelectorOptions{}, 7);
+    CHECK_FALSE(selector.choose({}, milliseconds(500)).has_value());
+}
+
+} // namespace jacinthshift
--- a/modules/forwarding/traffic_metrics.cpp
+++ b/modules/forwarding/traffic_metrics.cpp
@@ -33,9 +33,8 @@
         }
         text += joinText("jacinthshift_request_seconds_bucket", label, ",le=\"+Inf\"} ",
                          histogram.count, "\njacinthshift_request_seconds_sum", label, "} ",
-                         std::to_string(histogram.seconds),
-                         "\njacinthshift_request_seconds_count", label, "} ", histogram.count,
-                         "\n");
+                         std::to_string(histogram.seconds), "\njacinthshift_request_seconds_count",
+                         label, "} ", histogram.count, "\n");
     }
     text += joinText("jacinthshift_retries_total ", m_retries,
                      "\njacinthshift_retries_denied_total ", m_retriesDenied,
--- a/modules/forwarding/version_policy.h
+++ b/modules/forwarding/version_policy.h
@@ -8,8 +8,8 @@
 /** Which versions of a service may take one request. */
 struct VersionChoice
 {
-    std::string only;     ///< The one version; empty if several may.
-    std::string excluded; ///< A version that takes no requests; empty if none.
+    std::string only;         ///< The one version; empty if several may.
+    std::string excluded;     ///< A version that takes no requests; empty if none.
     bool mayFallBack = false; ///< Whether another version may take it when this one has no room.
 
     bool allows(const std::string &version) const
--- a/modules/owner/admission_queue.cpp
+++ b/modules/owner/admission_queue.cpp
@@ -10,6 +10,10 @@
 // Without answers an estimate loses half of its excess in this time, so a slow spell is forgotten.
 constexpr double EstimateHalfLifeMilliseconds = 3'000.0;
 constexpr double DefaultServiceMilliseconds = 100.0;
+// Over how long the demand of each priority is averaged.
+constexpr double DemandMemoryMilliseconds = 1'000.0;
+// The least part of the slots that is assumed to be left by more urgent requests.
+constexpr double SmallestFreePart = 0.1;
 
 double millisecondsBetween(SteadyTime from, SteadyTime to)
 {
@@ -67,10 +71,9 @@
 std::uint32_t AdmissionQueue::aheadOf(const AdmissionTicket &ticket, SteadyTime now) const
 {
     return static_cast<std::uint32_t>(
-            std::count_if(m_waiting.begin(), m_waiting.end(),
-                          [&](const AdmissionTicket &other) {
-                              return !goesBefore(ticket, other, now);
-                          }));
+            std::count_if(m_waiting.begin(), m_waiting.end(), [&](const AdmissionTicket &other) {
+                return !goesBefore(ticket, other, now);
+            }));
 }
 
 double AdmissionQueue::expectedWait(std::uint32_t ahead) const
@@ -92,16 +95,37 @@
     m_startsPerSecond = perSecond;
 }
 
+void AdmissionQueue::noteDemand(std::uint32_t priority, double service, SteadyTime now)
+{
+    Demand &demand = m_demand[priority];
+    demand.work = decayed(demand, now) + service;
+    demand.at = now;
+}
+
+double AdmissionQueue::decayed(const Demand &demand, SteadyTime now) const
+{
+    return demand.work * std::exp(-millisecondsBetween(demand.at, now) / DemandMemoryMilliseconds);
+}
+
+double AdmissionQueue::demandBefore(std::uint32_t priority, SteadyTime now) const
+{
+    double work = 0.0;
+    for (const auto &[other, demand] : m_demand) {
+        if (other < priority)
+            work += decayed(demand, now);
+    }
+    return work / (DemandMemoryMilliseconds * std::max(1U, m_limit));
+}
+
 bool AdmissionQueue::mayStart(SteadyTime now)
 {
     if (m_running >= m_limit)
         return false;
     if (m_startsPerSecond <= 0.0)
         return true;
-    m_startCredit = std::min(m_options.coldBurst,
-                             m_startCredit
-                                     + m_startsPerSecond * millisecondsBetween(m_creditAt, now)
-                                               / 1'000.0);
+    m_startCredit = std::min(
+            m_options.coldBurst,
+            m_startCredit + m_startsPerSecond * millisecondsBetween(m_creditAt, now) / 1'000.0);
     m_creditAt = now;
     return m_startCredit >= 1.0;
 }
@@ -116,10 +140,10 @@
 AdmissionDecision AdmissionQueue::refuse(WorkRefusal reason, double wait) const
 {
     const std::chrono::milliseconds until(std::llround(wait));
-    return AdmissionDecision{.kind = AdmissionDecision::Kind::Refuse,
-                             .reason = reason,
-                             .expectedWait = std::clamp(until, m_options.shortestRetry,
-                                                        m_options.longestRetry)};
+    return AdmissionDecision{
+            .kind = AdmissionDecision::Kind::Refuse,
+            .reason = reason,
+            .expectedWait = std::clamp(until, m_options.shortestRetry, m_options.longestRetry)};
 }
 
 AdmissionDecision AdmissionQueue::offer(const AdmissionTicket &ticket, SteadyTime now)
@@ -128,20 +152,37 @@
     const double service = serviceTime(ticket, now);
     if (isHopeless(ticket, now) && m_running >= std::min(m_options.probes, m_limit))
         return refuse(noRoom, service);
+    noteDemand(ticket.priority, service, now);
     const std::uint32_t ahead = aheadOf(ticket, now);
     if (ahead == 0 && mayStart(now)) {
         noteStart();
         return AdmissionDecision{.kind = AdmissionDecision::Kind::Start};
     }
-    const double wait = expectedWait(ahead);
+    // Those more urgent that are still to come will overtake it.
+    const double wait = expectedWait(ahead)
+                        / std::max(SmallestFreePart, 1.0 - demandBefore(ticket.priority, now));
     const double untilTarget = millisecondsBetween(now, ticket.targetAt) - service;
     const double untilDeadline = millisecondsBetween(now, ticket.deadline) - service;
-    const double patience = std::max(untilTarget, untilDeadline * m_options.latePatience);
-    if (wait > patience || m_waiting.size() >= std::size_t(m_limit) * m_options.queuePerSlot)
+    // What turns late in the queue is overtaken by all that still can be in time, so it is not let
+    // in.
+    const double patience =
+            untilTarget > 0.0 ? untilTarget : untilDeadline * m_options.latePatience;
+    if (wait > patience)
         return refuse(noRoom, wait);
+    AdmissionDecision decision{.kind = AdmissionDecision::Kind::Wait,
+                               .expectedWait = std::chrono::milliseconds(std::llround(wait))};
+    if (m_waiting.size() >= std::size_t(m_limit) * m_options.queuePerSlot) {
+        const auto last = std::max_element(m_waiting.begin(), m_waiting.end(),
+                                           [&](const AdmissionTicket &a, const AdmissionTicket &b) {
+                                               return goesBefore(a, b, now);
+                                           });
+        if (last == m_waiting.end() || !goesBefore(ticket, *last, now))
+            return refuse(noRoom, wait);
+        decision.displaced = last->id;
+        m_waiting.erase(last);
+    }
     m_waiting.push_back(ticket);
-    return AdmissionDecision{.kind = AdmissionDecision::Kind::Wait,
-                             .expectedWait = std::chrono::milliseconds(std::llround(wait))};
+    return decision;
 }
 
 void AdmissionQueue::finished(const std::string &route, std::chrono::microseconds serviceTime,
@@ -178,10 +219,11 @@
         return hopeless;
     });
     while (!m_waiting.empty() && mayStart(now)) {
-        const auto first = std::min_element(m_waiting.begin(), m_waiting.end(),
-                                            [&](const AdmissionTicket &a, const AdmissionTicket &b) {
-                                                return goesBefore(a, b, now);
-                                            });
+        const auto first =
+                std::min_element(m_waiting.begin(), m_waiting.end(),
+                                 [&](const AdmissionTicket &a, const AdmissionTicket &b) {
+                                     return goesBefore(a, b, now);
+                                 });
         due.start.push_back(first->id);
         m_waiting.erase(first);
         noteStart();
--- a/modules/owner/admission_queue.h
+++ b/modules/owner/admission_queue.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -24,8 +25,8 @@
     double leastPartOfService = 0.6;
     /** So many requests run even if they seem hopeless; without them the estimate never mends. */
     std::uint32_t probes = 2;
-    std::uint32_t queuePerSlot = 4;       ///< The longest queue, as a multiple of the limit.
-    double coldBurst = 1.5;               ///< Starts that a cold backend server may get at once.
+    std::uint32_t queuePerSlot = 4; ///< The longest queue, as a multiple of the limit.
+    double coldBurst = 1.5;         ///< Starts that a cold backend server may get at once.
     std::chrono::milliseconds shortestRetry{40};
     std::chrono::milliseconds longestRetry{1'000};
 };
@@ -49,6 +50,7 @@
     Kind kind = Kind::Refuse;
     WorkRefusal reason = WorkRefusal::None;
     std::chrono::milliseconds expectedWait{0}; ///< Until it would start, or until there is room.
+    std::uint64_t displaced = 0; ///< A less urgent ticket that lost its place; 0 if none.
 };
 
 /** Tickets whose turn has come, and those that can no longer be served. */
@@ -62,11 +64,17 @@
  * Decides what runs on one backend server, what waits and what is refused.
  *
  * Requests run while there are slots. Others wait, the most urgent first, as long as they are
- * expected to be answered in time; what cannot be is refused at once, so its caller can go elsewhere.
- * A cold backend server gets no more starts a second than it bears.
+ * expected to be answered in time; what cannot be is refused at once, so its caller can go
+ * elsewhere. A cold backend server gets no more starts a second than it bears.
  */
 class AdmissionQueue
 {
+    /** Service time that requests of one priority have asked for of late. */
+    struct Demand
+    {
+        double work = 0.0; ///< Milliseconds, decaying.
+        SteadyTime at;
+    };
     struct ServiceTime
     {
         double milliseconds = 0.0;
@@ -77,6 +85,7 @@
     std::uint32_t m_running = 0;
     std::vector<AdmissionTicket> m_waiting;
     std::unordered_map<std::string, ServiceTime> m_serviceTimes;
+    std::map<std::uint32_t, Demand> m_demand;
     double m_meanServiceTime = 0.0; ///< Milliseconds, over all routes.
     double m_startsPerSecond = 0.0; ///< Zero unless cold.
     double m_startCredit = 0.0;
@@ -90,6 +99,9 @@
     bool isHopeless(const AdmissionTicket &ticket, SteadyTime now) const;
     std::uint32_t aheadOf(const AdmissionTicket &ticket, SteadyTime now) const;
     double expectedWait(std::uint32_t ahead) const;
+    void noteDemand(std::uint32_t priority, double service, SteadyTime now);
+    double decayed(const Demand &demand, SteadyTime now) const;
+    double demandBefore(std::uint32_t priority, SteadyTime now) const;
     bool mayStart(SteadyTime now);
     void noteStart();
     AdmissionDecision refuse(WorkRefusal reason, double wait) const;
--- a/modules/owner/backend_owner.cpp
+++ b/modules/owner/backend_owner.cpp
@@ -45,8 +45,8 @@
 absl::Status BackendOwner::heartbeat(const BackendHeartbeat &heartbeat)
 {
     if (!m_options.service.empty() && heartbeat.service != m_options.service)
-        return absl::InvalidArgumentError(joinText("this VM runs service ", m_options.service,
-                                                   ", not ", heartbeat.service));
+        return absl::InvalidArgumentError(
+                joinText("this VM runs service ", m_options.service, ", not ", heartbeat.service));
     const BackendAvailability before = availability();
     const RegistrationOutcome outcome = m_registration.heartbeat(heartbeat);
     if (outcome == RegistrationOutcome::Stale || outcome == RegistrationOutcome::Left) {
@@ -188,8 +188,7 @@
         return WorkRefusal::Braked;
     // A sender that does not know of the rollout must not fill the new version.
     const bool unaware = work.version.empty() && !m_rolloutTarget.empty();
-    return unaware && backend->version == m_rolloutTarget ? WorkRefusal::Braked
-                                                          : WorkRefusal::None;
+    return unaware && backend->version == m_rolloutTarget ? WorkRefusal::Braked : WorkRefusal::None;
 }
 
 void BackendOwner::refuseNow(const Callback &callback, const WorkRequest &work, WorkRefusal reason,
@@ -203,8 +202,7 @@
               {"limit", m_admission.limit()},
               {"service_ms", m_admission.typicalServiceTime().count()},
               {"left_ms", work.timeLeft.count()}});
-    callback(WorkResult{
-            .verdict = Verdict::NotRun, .refusal = reason, .retryAfter = retryAfter});
+    callback(WorkResult{.verdict = Verdict::NotRun, .refusal = reason, .retryAfter = retryAfter});
 }
 
 std::uint64_t BackendOwner::run(const WorkRequest &work, Callback callback)
@@ -235,6 +233,11 @@
         refuseNow(callback, work, decision.reason, decision.expectedWait);
         return 0;
     }
+    if (decision.displaced != 0) {
+        finish(decision.displaced, WorkResult{.verdict = Verdict::NotRun,
+                                              .refusal = WorkRefusal::Full,
+                                              .retryAfter = decision.expectedWait});
+    }
     m_work.emplace(id, Work{.request = work,
                             .callback = std::move(callback),
                             .fingerprint = fingerprint,
@@ -243,8 +246,8 @@
     if (decision.kind == AdmissionDecision::Kind::Start)
         start(id);
     else if (!m_turns.isActive())
-        m_turns = Timer(m_timers, m_timers.startPeriodic(m_options.turnPeriod,
-                                                         [this] { runTurns(); }));
+        m_turns = Timer(m_timers,
+                        m_timers.startPeriodic(m_options.turnPeriod, [this] { runTurns(); }));
     return id;
 }
 
@@ -298,8 +301,7 @@
             .server = backend.endpoint,
             .timeout = timeLeft,
             .connectTimeout = std::min(m_options.connectTimeout, timeLeft),
-            .maxIdle = work.request.idempotent ? m_options.maxIdle
-                                               : m_options.maxIdleNonIdempotent,
+            .maxIdle = work.request.idempotent ? m_options.maxIdle : m_options.maxIdleNonIdempotent,
             .correlation = {.name = names.requestId,
                             .value = std::string(
                                     findHeader(work.request.request.headers, names.requestId))}};
@@ -355,8 +357,8 @@
     if (misdirected || !findHeader(headers, m_options.headers.notRun).empty()) {
         outcome.verdict = Verdict::NotRun;
         outcome.refusal = WorkRefusal::Rejected;
-        if (misdirected && m_registration.current()
-            && m_registration.current()->id == work.backend && !m_absent) {
+        if (misdirected && m_registration.current() && m_registration.current()->id == work.backend
+            && !m_absent) {
             m_absent = true;
             logEvent(Event::BackendLost, {{"backend", work.backend}, {"reason", "replaced"}});
             m_observer.ownerChanged();
@@ -413,8 +415,8 @@
     m_absent = true;
     m_cautious = true;
     const std::optional<BackendHeartbeat> &backend = m_registration.current();
-    logEvent(Event::BackendLost, {{"backend", backend ? backend->id : std::string()},
-                                  {"reason", "cannot be reached"}});
+    logEvent(Event::BackendLost,
+             {{"backend", backend ? backend->id : std::string()}, {"reason", "cannot be reached"}});
     declareCrash();
     refuseWaiting(WorkRefusal::Unreachable);
     m_observer.ownerChanged();
--- a/modules/owner/backend_registration.cpp
+++ b/modules/owner/backend_registration.cpp
@@ -15,7 +15,8 @@
     return std::any_of(m_departed.begin(), m_departed.end(), [&heartbeat](const Departed &gone) {
         if (gone.id != heartbeat.id)
             return false;
-        // A backend server may start again under its old id; only a later start is another lifetime.
+        // A backend server may start again under its old id; only a later start is another
+        // lifetime.
         return !heartbeat.startedAt || !gone.startedAt || *heartbeat.startedAt <= *gone.startedAt;
     });
 }
--- a/modules/owner/backend_registration.h
+++ b/modules/owner/backend_registration.h
@@ -19,8 +19,8 @@
 };
 
 /**
- * Decides which backend server runs on this VM from heartbeats that may be late, repeated or from an
- * earlier lifetime.
+ * Decides which backend server runs on this VM from heartbeats that may be late, repeated or from
+ * an earlier lifetime.
  */
 class BackendRegistration
 {
--- /dev/null
+++ b/modules/owner/tests/test_admission_queue.cpp
@@ -0,0 +1,203 @@
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <map>
+
+#include "modules/owner/admission_queue.h"
+
+namespace jacinthshift {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+const SteadyTime Start{std::chrono::hours(1)};
+
+SteadyTime at(int millisecond)
+{
+    return Start + milliseconds(millisecond);
+}
+
+AdmissionTicket ticket(std::uint64_t id, int now, int target, int deadline,
+                       std::uint32_t priority = 1)
+{
+    return AdmissionTicket{.id = id,
+                           .route = "r",
+                           .priority = priority,
+                           .targetAt = at(now + target),
+                           .deadline = at(now + deadline)};
+}
+
+/** Runs one backend server on a clock of milliseconds; each request takes the same time. */
+class SimulatedBackend
+{
+    struct Running
+    {
+        std::uint64_t id;
+        int until;
+    };
+
+    int m_serviceTime;
+    std::vector<Running> m_running;
+
+public:
+    AdmissionQueue queue{AdmissionQueueOptions{}};
+    std::map<std::uint64_t, int> finishedAt;
+    std::vector<std::uint64_t> givenUp;
+    int now = 0;
+    std::size_t mostRunning = 0;
+
+    SimulatedBackend(std::uint32_t slots, int serviceTime) : m_serviceTime(serviceTime)
+    {
+        queue.setLimit(slots);
+        // One answer teaches the queue the service time.
+        queue.offer(ticket(0, 0, 10'000, 20'000), at(0));
+        queue.finished("r", milliseconds(serviceTime), at(0));
+    }
+
+    void start(std::uint64_t id)
+    {
+        m_running.push_back({id, now + m_serviceTime});
+        mostRunning = std::max(mostRunning, m_running.size());
+    }
+
+    AdmissionDecision::Kind offer(const AdmissionTicket &offered)
+    {
+        const AdmissionDecision decision = queue.offer(offered, at(now));
+        if (decision.kind == AdmissionDecision::Kind::Start)
+            start(offered.id);
+        return decision.kind;
+    }
+
+    void step()
+    {
+        ++now;
+        std::erase_if(m_running, [this](const Running &running) {
+            if (running.until > now)
+                return false;
+            finishedAt[running.id] = now;
+            queue.finished("r", milliseconds(m_serviceTime), at(now));
+            return true;
+        });
+        const AdmissionTurns due = queue.turns(at(now));
+        for (const std::uint64_t id : due.start)
+            start(id);
+        givenUp.insert(givenUp.end(), due.giveUp.begin(), due.giveUp.end());
+    }
+};
+
+} // namespace
+
+TEST_CASE("surge: what is admitted is answered in time, what is not is refused at once")
+{
+    // 10 slots of 100 ms bear 100 requests a second; 200 a second come for 5 seconds.
+    SimulatedBackend backend(10, 100);
+    std::map<std::uint64_t, int> arrivedAt;
+    int refused = 0;
+    for (std::uint64_t id = 1; id <= 1'000; ++id) {
+        arrivedAt[id] = backend.now;
+        if (backend.offer(ticket(id, backend.now, 400, 1'500)) == AdmissionDecision::Kind::Refuse)
+            ++refused;
+        for (int i = 0; i < 5; ++i)
+            backend.step();
+    }
+    int inTime = 0;
+    for (const auto &[id, finished] : backend.finishedAt)
+        inTime += finished - arrivedAt[id] <= 400 ? 1 : 0;
+    CHECK(backend.mostRunning <= 10);
+    CHECK(inTime >= 480);
+    CHECK(inTime >= static_cast<int>(backend.finishedAt.size()) * 95 / 100);
+    CHECK(backend.givenUp.size() <= 20);
+    CHECK(refused >= 400);
+}
+
+TEST_CASE("surge: the less urgent kind is refused before the more urgent one")
+{
+    SimulatedBackend backend(10, 100);
+    std::map<std::uint32_t, int> refused;
+    for (std::uint64_t id = 1; id <= 600; ++id) {
+        const std::uint32_t priority = 1 + id % 2;
+        if (backend.offer(ticket(id, backend.now, 400, 1'500, priority))
+            == AdmissionDecision::Kind::Refuse)
+            ++refused[priority];
+        REQUIRE(backend.queue.waiting() <= 40);
+        for (int i = 0; i < 6; ++i)
+            backend.step();
+    }
+    CHECK(refused[1] <= 10);
+    CHECK(refused[2] >= 100);
+}
+
+TEST_CASE("a caller that returns after a refusal goes before a new one of its kind")
+{
+    SimulatedBackend backend(1, 100);
+    backend.offer(ticket(1, 0, 1'000, 2'000));
+    backend.offer(ticket(2, 0, 1'000, 2'000));
+    AdmissionTicket returning = ticket(3, 0, 900, 1'900);
+    returning.returning = true;
+    backend.offer(returning);
+    for (int i = 0; i < 350; ++i)
+        backend.step();
+    CHECK(backend.finishedAt[3] < backend.finishedAt[2]);
+}
+
+TEST_CASE("slow minority: a backend server that cannot meet deadlines keeps only its probes busy")
+{
+    AdmissionQueue queue{AdmissionQueueOptions{}};
+    queue.setLimit(10);
+    int started = 0;
+    for (std::uint64_t id = 1; id <= 10; ++id) {
+        const AdmissionDecision decision = queue.offer(ticket(id, 0, 400, 800), at(0));
+        if (decision.kind != AdmissionDecision::Kind::Start)
+            continue;
+        ++started;
+        queue.finished("r", milliseconds(2'000), at(0));
+    }
+    CHECK(started == 10);
+    int running = 0;
+    for (std::uint64_t id = 11; id <= 30; ++id) {
+        const AdmissionDecision decision = queue.offer(ticket(id, 0, 400, 800), at(0));
+        running += decision.kind == AdmissionDecision::Kind::Start ? 1 : 0;
+        CHECK(decision.kind != AdmissionDecision::Kind::Wait);
+    }
+    CHECK(running == 2);
+    SECTION("and is tried again after the slow spell")
+    {
+        const AdmissionDecision later = queue.offer(ticket(40, 12'000, 400, 800), at(12'000));
+        CHECK(later.kind == AdmissionDecision::Kind::Start);
+    }
+}
+
+TEST_CASE("cold return of a failure domain: starts a second stay within what it bears")
+{
+    SimulatedBackend backend(18, 20);
+    backend.queue.setStartRate(30.0, at(0));
+    std::vector<int> starts;
+    std::size_t startedBefore = 0;
+    for (std::uint64_t id = 1; id <= 3'000; ++id) {
+        backend.offer(ticket(id, backend.now, 2'000, 4'000));
+        backend.step();
+        const std::size_t started = backend.finishedAt.size();
+        for (; startedBefore < started; ++startedBefore)
+            starts.push_back(backend.now);
+    }
+    for (std::size_t first = 0; first < starts.size(); ++first) {
+        const auto within =
+                std::count_if(starts.begin() + static_cast<std::ptrdiff_t>(first), starts.end(),
+                              [&](int time) { return time < starts[first] + 1'000; });
+        REQUIRE(within <= 33);
+    }
+    CHECK(starts.size() >= 80);
+}
+
+TEST_CASE("callers that leave early free their place in the queue")
+{
+    SimulatedBackend backend(1, 100);
+    backend.offer(ticket(1, 0, 1'000, 2'000));
+    backend.offer(ticket(2, 0, 1'000, 2'000));
+    CHECK(backend.queue.withdraw(2));
+    CHECK_FALSE(backend.queue.withdraw(2));
+    CHECK(backend.queue.waiting() == 0);
+}
+
+} // namespace jacinthshift
--- a/modules/rollout/rollout_controller.cpp
+++ b/modules/rollout/rollout_controller.cpp
@@ -98,8 +98,7 @@
     if (progress == nullptr)
         return;
     const auto known = m_rollouts.find(progress->service);
-    if (known == m_rollouts.end()
-        || known->second->order.targetVersion != progress->targetVersion)
+    if (known == m_rollouts.end() || known->second->order.targetVersion != progress->targetVersion)
         return;
     Rollout &rollout = *known->second;
     rollout.peerSteps[node] = progress->step;
@@ -160,12 +159,12 @@
             setStep(rollout, rollout.step + 1);
         return;
     }
-    const bool proved = answers >= m_options.canaryRequests
-                        && now - rollout.firstAnswerAt
-                                   >= partOf(rollout.order.duration, m_options.canaryPart);
-    const bool haste = answers >= m_options.canaryRequests / 2
-                       && now - rollout.learnedAt
-                                  >= partOf(rollout.order.duration, m_options.hastePart);
+    const bool proved =
+            answers >= m_options.canaryRequests
+            && now - rollout.firstAnswerAt >= partOf(rollout.order.duration, m_options.canaryPart);
+    const bool haste =
+            answers >= m_options.canaryRequests / 2
+            && now - rollout.learnedAt >= partOf(rollout.order.duration, m_options.hastePart);
     if ((proved || haste) && targetIsThere(rollout))
         setStep(rollout, 1);
 }
@@ -174,11 +173,10 @@
 {
     rollout.step = std::min(step, FullStep);
     rollout.stepSince = m_timers.now();
-    logEvent(Event::RolloutAdvanced,
-             {{"service", rollout.order.service},
-              {"target", rollout.order.targetVersion},
-              {"step", rollout.step},
-              {"candidate_requests", rollout.judge.candidateRequests()}});
+    logEvent(Event::RolloutAdvanced, {{"service", rollout.order.service},
+                                      {"target", rollout.order.targetVersion},
+                                      {"step", rollout.step},
+                                      {"candidate_requests", rollout.judge.candidateRequests()}});
     announce(rollout);
 }
 
@@ -231,11 +229,9 @@
     };
     if (serves(m_owner.status()))
         return true;
-    return std::any_of(m_network.peers().begin(), m_network.peers().end(),
-                       [&](const auto &entry) {
-                           return m_network.isReachable(entry.second)
-                                  && serves(entry.second.status.backend);
-                       });
+    return std::any_of(m_network.peers().begin(), m_network.peers().end(), [&](const auto &entry) {
+        return m_network.isReachable(entry.second) && serves(entry.second.status.backend);
+    });
 }
 
 bool RolloutController::oldVersionIsIdle(const Rollout &rollout) const
@@ -284,8 +280,8 @@
 {
     const SteadyTime now = m_timers.now();
     const RolloutOutcome outcome = wanted(*rollout);
-    const bool due = outcome != RolloutOutcome::Open ? rollout->written != outcome
-                                                     : !rollout->startWritten;
+    const bool due =
+            outcome != RolloutOutcome::Open ? rollout->written != outcome : !rollout->startWritten;
     if (!due || rollout->busy) {
         if (!due)
             rollout->dueSince = SteadyTime();
@@ -294,8 +290,7 @@
     if (rollout->dueSince == SteadyTime())
         rollout->dueSince = now;
     const SteadyTime turn =
-            rollout->dueSince
-            + m_options.rankDelay * static_cast<std::int64_t>(rank(*rollout));
+            rollout->dueSince + m_options.rankDelay * static_cast<std::int64_t>(rank(*rollout));
     if (now >= turn && now >= rollout->nextWrite)
         consultRegister(rollout);
 }
@@ -304,8 +299,8 @@
 {
     rollout->busy = true;
     rollout->nextWrite = m_timers.now() + m_options.writePause;
-    m_register.read(rollout->order.service, [this, rollout](
-                                                    const absl::StatusOr<RolloutEntry> &entry) {
+    m_register.read(rollout->order.service, [this,
+                                             rollout](const absl::StatusOr<RolloutEntry> &entry) {
         rollout->busy = false;
         if (!entry.ok()) {
             logEvent(Event::RolloutRegisterFailed,
@@ -318,8 +313,7 @@
         if (entry->targetVersion == rollout->order.targetVersion) {
             rollout->startWritten = true;
             rollout->written = entry->outcome;
-            if (entry->outcome != RolloutOutcome::Open
-                && rollout->outcome == RolloutOutcome::Open)
+            if (entry->outcome != RolloutOutcome::Open && rollout->outcome == RolloutOutcome::Open)
                 end(*rollout, entry->outcome, "found in the register");
         }
         const RolloutOutcome outcome = wanted(*rollout);
@@ -334,9 +328,8 @@
 void RolloutController::write(const RolloutPointer &rollout, std::uint64_t end)
 {
     const RolloutOutcome outcome = wanted(*rollout);
-    const RolloutEntry entry{.targetVersion = rollout->order.targetVersion,
-                             .outcome = outcome,
-                             .end = end};
+    const RolloutEntry entry{
+            .targetVersion = rollout->order.targetVersion, .outcome = outcome, .end = end};
     rollout->busy = true;
     m_register.write(rollout->order.service, entry,
                      [this, rollout, outcome](const absl::Status &status) {
--- a/modules/rollout/rollout_controller.h
+++ b/modules/rollout/rollout_controller.h
@@ -29,7 +29,8 @@
     double stepPart = 0.06; ///< How long each later step lasts, as a part of the order's time.
     double fullPart = 0.08; ///< How long it carries everything before the old version is stopped.
     std::chrono::milliseconds tickPeriod{200};
-    std::chrono::milliseconds rankDelay{500}; ///< Each further node waits this much longer to write.
+    std::chrono::milliseconds rankDelay{
+            500}; ///< Each further node waits this much longer to write.
     std::chrono::milliseconds writePause{400}; ///< Between two tries to write.
     FaultDetectorOptions detector{.threshold = 9.0, .shortMemory = 40.0};
 };
@@ -37,9 +38,10 @@
 /**
  * Moves services to new versions and takes faulty ones back, without anybody on duty.
  *
- * Owners tell all nodes what they have counted, so every node judges by the same evidence and follows
- * the furthest step of any other one. A fault stops the new version at once and without the log; only
- * the outcome is written there, under the condition that nobody else has written meanwhile.
+ * Owners tell all nodes what they have counted, so every node judges by the same evidence and
+ * follows the furthest step of any other one. A fault stops the new version at once and without the
+ * log; only the outcome is written there, under the condition that nobody else has written
+ * meanwhile.
  */
 class RolloutController final : public VersionPolicy, public FleetObserver
 {
@@ -47,9 +49,7 @@
     {
         Rollout(const RolloutOrder &rolloutOrder, std::uint64_t orderOffset,
                 const FaultDetectorOptions &detector)
-            : order(rolloutOrder)
-            , offset(orderOffset)
-            , judge(rolloutOrder.targetVersion, detector)
+            : order(rolloutOrder), offset(orderOffset), judge(rolloutOrder.targetVersion, detector)
         {
         }
 
--- a/modules/rollout/rollout_judge.cpp
+++ b/modules/rollout/rollout_judge.cpp
@@ -21,8 +21,7 @@
         known = evidence.counts;
         if (delta.requests == 0)
             continue;
-        FaultDetector &detector =
-                m_detectors.try_emplace(evidence.route, m_options).first->second;
+        FaultDetector &detector = m_detectors.try_emplace(evidence.route, m_options).first->second;
         if (candidate) {
             m_candidateRequests += delta.requests;
             detector.add(ArmEvidence(), delta);
--- a/modules/rollout/rollout_judge.h
+++ b/modules/rollout/rollout_judge.h
@@ -9,7 +9,8 @@
 
 namespace jacinthshift {
 
-/** Sums up what owners have counted of a service's versions and looks for faults, route by route. */
+/** Sums up what owners have counted of a service's versions and looks for faults, route by route.
+ */
 class RolloutJudge
 {
     struct Reporter
--- a/node/contact_book.cpp
+++ b/node/contact_book.cpp
@@ -19,8 +19,8 @@
             read();
             return;
         }
-        logEvent(Event::AppendFailed, {{"table", wire::NodesTable},
-                                       {"reason", std::string(status.message())}});
+        logEvent(Event::AppendFailed,
+                 {{"table", wire::NodesTable}, {"reason", std::string(status.message())}});
         m_next = Timer(m_timers, m_timers.startOnce(m_options.retry, [this] { write(); }));
     });
 }
@@ -43,14 +43,14 @@
             if (contact.ok())
                 contacts.push_back(*contact);
             else
-                logEvent(Event::OperatorRecordIgnored,
-                         {{"key", record.key},
-                          {"reason", std::string(contact.status().message())}});
+                logEvent(
+                        Event::OperatorRecordIgnored,
+                        {{"key", record.key}, {"reason", std::string(contact.status().message())}});
         }
         m_network.addContacts(contacts);
-        const bool linked = std::any_of(
-                m_network.peers().begin(), m_network.peers().end(),
-                [](const auto &entry) { return !entry.second.links.empty(); });
+        const bool linked =
+                std::any_of(m_network.peers().begin(), m_network.peers().end(),
+                            [](const auto &entry) { return !entry.second.links.empty(); });
         if (!linked)
             readAfter(m_options.lonelyPeriod);
     });
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -58,14 +58,13 @@
 {
     const std::uint32_t callers =
             std::max(64U, settings.maxFiles > ReservedFiles ? settings.maxFiles - ReservedFiles
-                                                             : settings.maxFiles / 2);
+                                                            : settings.maxFiles / 2);
     return HttpServerOptions{.maxBodyBytes = limits.maxBodyBytes,
                              .maxHeaderBytes = limits.maxHeaderBytes,
                              .headerTimeout = limits.headerTimeout,
                              .idleTimeout = limits.idleTimeout,
                              .maxConnections = callers,
-                             .maxKeptConnections =
-                                     static_cast<std::size_t>(callers * KeptPart)};
+                             .maxKeptConnections = static_cast<std::size_t>(callers * KeptPart)};
 }
 
 } // namespace
@@ -144,14 +143,13 @@
     // well, so each node uses a part of it.
     constexpr double RatioPart = 0.5;
     constexpr double SlackPart = 0.04;
-    return ForwarderOptions{
-            .node = settings.node,
-            .domain = settings.domain,
-            .callerService = settings.service,
-            .headers = wire::headerNames(),
-            .retries = {.share = settings.retryRatio * RatioPart,
-                        .reserve = std::max(1.0, settings.retrySlack * SlackPart)},
-            .seed = seed};
+    return ForwarderOptions{.node = settings.node,
+                            .domain = settings.domain,
+                            .callerService = settings.service,
+                            .headers = wire::headerNames(),
+                            .retries = {.share = settings.retryRatio * RatioPart,
+                                        .reserve = std::max(1.0, settings.retrySlack * SlackPart)},
+                            .seed = seed};
 }
 
 } // namespace
@@ -222,9 +220,8 @@
            });
     listen(metricsServer, settings.metrics,
            [this](const HttpRequest &, const std::shared_ptr<HttpResponder> &responder) {
-               responder->respond(
-                       HttpResponse{.headers = {{"Content-Type", "text/plain"}},
-                                    .body = metricsText()});
+               responder->respond(HttpResponse{.headers = {{"Content-Type", "text/plain"}},
+                                               .body = metricsText()});
            });
     if (!status.ok())
         return status;
@@ -329,8 +326,8 @@
             return;
         }
     }
-    responder->respond(HttpResponse{.headers = {{"Content-Type", "application/json"}},
-                                    .body = "{}"});
+    responder->respond(
+            HttpResponse{.headers = {{"Content-Type", "application/json"}}, .body = "{}"});
 }
 
 void MeshNode::Parts::requestSuspected(std::uint64_t fingerprint, const std::string &backend)
@@ -362,9 +359,9 @@
         text += joinText("jacinthshift_", name, " ", value, "\n");
     };
     const BackendStatus backend = owner.status();
-    const auto reachable = std::count_if(
-            network.peers().begin(), network.peers().end(),
-            [this](const auto &entry) { return network.isReachable(entry.second); });
+    const auto reachable =
+            std::count_if(network.peers().begin(), network.peers().end(),
+                          [this](const auto &entry) { return network.isReachable(entry.second); });
     line("config_version", config.version);
     line("operator_table_end", table.end());
     line("log_reachable", follower.isReachable() ? 1 : 0);
@@ -405,7 +402,8 @@
             logEvent(Event::SettingsRefused, {{"problem", problem.text()}});
         return;
     }
-    // Addresses of listeners hold for the life of the process; the platform restarts it to move them.
+    // Addresses of listeners hold for the life of the process; the platform restarts it to move
+    // them.
     settings.store = fresh.store;
     settings.grace = fresh.grace;
     settings.logLevel = fresh.logLevel;
@@ -424,8 +422,8 @@
         return;
     stopping = true;
     stoppingSince = timers.now();
-    logEvent(Event::NodeStopping, {{"requests", forwarder.openRequests()},
-                                   {"work", owner.openWork()}});
+    logEvent(Event::NodeStopping,
+             {{"requests", forwarder.openRequests()}, {"work", owner.openWork()}});
     owner.setLeaving();
     callerServer.closeAfterAnswers();
     publishStatus(true);
--- a/node/mesh_settings.cpp
+++ b/node/mesh_settings.cpp
@@ -31,8 +31,7 @@
             continue;
         }
         // Seeds are named by another address of theirs; the port of links is the same everywhere.
-        settings.seeds.push_back(
-                Endpoint{.address = seed->address, .port = settings.links.port});
+        settings.seeds.push_back(Endpoint{.address = seed->address, .port = settings.links.port});
     }
     YamlSection limits = root.section("limits");
     settings.grace = limits.seconds("grace_seconds", settings.grace);
--- a/node/mesh_settings.h
+++ b/node/mesh_settings.h
@@ -22,8 +22,8 @@
     Endpoint control;    ///< Where the backend server sends its heartbeats.
     Endpoint links;      ///< Where other nodes connect.
     Endpoint metrics;
-    Endpoint store; ///< The platform's store.
-    std::vector<Endpoint> seeds; ///< Other nodes' links; may be stale.
+    Endpoint store;                         ///< The platform's store.
+    std::vector<Endpoint> seeds;            ///< Other nodes' links; may be stale.
     std::chrono::milliseconds grace{6'000}; ///< From SIGTERM until the process is killed.
     double retryRatio = 0.2;                ///< Repeats that a service bears, per request.
     double retrySlack = 60.0;               ///< Repeats that all nodes together may add.
--- a/servers/http_server.h
+++ b/servers/http_server.h
@@ -32,7 +32,7 @@
     std::chrono::milliseconds headerTimeout{10'000}; ///< How long the head of a request may take.
     std::chrono::milliseconds idleTimeout{60'000};   ///< How long a connection may be idle.
     std::size_t maxConnections = 10'000;             ///< Past this new connections are closed.
-    std::size_t maxKeptConnections = 8'000; ///< Past this each answer ends its connection.
+    std::size_t maxKeptConnections = 8'000;          ///< Past this each answer ends its connection.
 };
 
 /** Listens for HTTP requests and hands over each one when its whole body has been read. */
--- a/tests/studies/scale_study.cpp
+++ b/tests/studies/scale_study.cpp
@@ -31,6 +31,7 @@
     absl::Status start(LinkObserver &) override { return absl::OkStatus(); }
     LinkId connect(const Endpoint &) override { return static_cast<LinkId>(++m_last); }
     bool send(LinkId, const std::string &) override { return false; }
+    void setCompression(LinkId, bool) override {}
     void close(LinkId) override {}
 };
 
