--- a/modules/fleet/fleet_network.cpp
+++ b/modules/fleet/fleet_network.cpp
@@ -182,7 +182,18 @@
     if (found == m_peers.end() || found->second.links.empty())
         return false;
     found->second.sentAt = m_timers.now();
-    return m_transport.send(found->second.links.back(), encodeFleetMessage(message));
+    return transmit(found->second.links.back(), found->second, message,
+                    encodeFleetMessage(message));
+}
+
+bool FleetNetwork::transmit(LinkId link, const FleetPeer &peer, const FleetMessage &message,
+                            const std::string &frame)
+{
+    const bool far = peer.contact.domain != m_options.self.domain;
+    FrameCount &count = m_sent.at(message.index()).at(far ? 1 : 0);
+    ++count.frames;
+    count.bytes += frame.size();
+    return m_transport.send(link, frame);
 }
 
 void FleetNetwork::broadcast(const FleetMessage &message)
@@ -190,7 +201,7 @@
     const std::string frame = encodeFleetMessage(message);
     for (const auto &[node, peer] : m_peers) {
         if (!peer.links.empty())
-            m_transport.send(peer.links.back(), frame);
+            transmit(peer.links.back(), peer, message, frame);
     }
 }
 
--- a/modules/fleet/fleet_network.h
+++ b/modules/fleet/fleet_network.h
@@ -1,6 +1,7 @@
 #ifndef MODULES_FLEET_FLEET_NETWORK_H
 #define MODULES_FLEET_FLEET_NETWORK_H
 
+#include <array>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -55,6 +56,13 @@
     bool silent = false;
 };
 
+/** Frames that were sent, before compression. */
+struct FrameCount
+{
+    std::uint64_t frames = 0;
+    std::uint64_t bytes = 0;
+};
+
 /** Learns what other nodes say. */
 class FleetObserver
 {
@@ -84,6 +92,8 @@
     std::map<std::string, FleetPeer> m_peers;
     std::unordered_map<LinkId, Link> m_links;
     StatusMessage m_status;
+    // By the message's number, to the own failure domain and to others.
+    std::array<std::array<FrameCount, 2>, std::variant_size_v<FleetMessage>> m_sent{};
     SteadyTime m_nextHeartbeat;
     Timer m_tick;
 
@@ -97,6 +107,8 @@
     std::chrono::milliseconds heartbeatPeriod() const;
     std::chrono::milliseconds silenceLimit() const;
     GreetingMessage greeting() const;
+    bool transmit(LinkId link, const FleetPeer &peer, const FleetMessage &message,
+                  const std::string &frame);
 
 public:
     FleetNetwork(const FleetNetworkOptions &options, LinkTransport &transport,
@@ -118,6 +130,8 @@
     const FleetPeer *peer(const std::string &node) const;
     /** Returns whether a node has a link that is not silent. */
     bool isReachable(const FleetPeer &peer) const { return !peer.links.empty() && !peer.silent; }
+    /** Returns what was sent of a kind of message, to other failure domains or within the own. */
+    const FrameCount &sent(std::size_t kind, bool far) const { return m_sent.at(kind).at(far); }
     const NodeContact &self() const { return m_options.self; }
     std::vector<NodeContact> contacts() const;
 
--- a/modules/forwarding/forwarder.cpp
+++ b/modules/forwarding/forwarder.cpp
@@ -163,13 +163,37 @@
     if (possible.empty() && request.version.mayFallBack) {
         possible = candidates(request, true);
     }
-    const std::optional<std::size_t> best =
-            m_selector.choose(possible, untilTime(m_timers.now(), request.targetAt));
+    const std::optional<std::size_t> best = m_selector.choose(
+            possible, SelectionContext{.targetLeft = untilTime(m_timers.now(), request.targetAt),
+                                       .routeFactor = routeFactor(request)});
     if (!best)
         return std::nullopt;
     return possible[*best];
 }
 
+void Forwarder::noteTime(const Request &request, std::chrono::microseconds time)
+{
+    constexpr double Weight = 0.05;
+    const double sample = static_cast<double>(time.count()) / 1'000.0;
+    const auto blend = [sample](std::unordered_map<std::string, double> &means,
+                                const std::string &key) {
+        const auto [mean, isNew] = means.try_emplace(key, sample);
+        if (!isNew)
+            mean->second += Weight * (sample - mean->second);
+    };
+    blend(m_routeTimes, request.route);
+    blend(m_serviceTimes, request.service);
+}
+
+double Forwarder::routeFactor(const Request &request) const
+{
+    const auto route = m_routeTimes.find(request.route);
+    const auto service = m_serviceTimes.find(request.service);
+    if (route == m_routeTimes.end() || service == m_serviceTimes.end() || service->second <= 0.0)
+        return 1.0;
+    return route->second / service->second;
+}
+
 WorkRequest Forwarder::workFor(const Request &request) const
 {
     const SteadyTime now = m_timers.now();
@@ -197,6 +221,7 @@
     ++request->handOvers;
     request->tried.push_back(owner->node);
     request->owner = owner->node;
+    request->handedOverAt = m_timers.now();
     WorkRequest work = workFor(*request);
     if (!request->version.only.empty() || !request->version.excluded.empty())
         work.version = owner->backend.version;
@@ -238,6 +263,8 @@
         && (request->retryHint.count() == 0 || result.retryAfter < request->retryHint))
         request->retryHint = result.retryAfter;
     if (result.verdict == Verdict::Done && result.response.status < FirstServerError) {
+        noteTime(*request, std::chrono::duration_cast<std::chrono::microseconds>(
+                                   m_timers.now() - request->handedOverAt));
         answer(request, result.response, "answered");
         return;
     }
--- a/modules/forwarding/forwarder.h
+++ b/modules/forwarding/forwarder.h
@@ -71,6 +71,7 @@
         std::uint32_t handOvers = 0;
         std::uint32_t reached = 0; ///< Backend servers that bytes of it were sent to.
         bool mayHaveRun = false;
+        SteadyTime handedOverAt;
         std::string owner; ///< Where it is now; empty between two tries.
         std::uint64_t call = 0;
         std::chrono::milliseconds retryHint{0};
@@ -91,6 +92,8 @@
     RetryBudget m_budget;
     RouteTable *m_routes = nullptr;
     std::unordered_map<std::string, std::chrono::milliseconds> m_longestDeadline;
+    std::unordered_map<std::string, double> m_routeTimes;   ///< Mean milliseconds, by route.
+    std::unordered_map<std::string, double> m_serviceTimes; ///< The same by service.
     std::unordered_map<std::uint64_t, RequestPointer> m_requests;
     std::uint64_t m_lastId = 0;
     bool m_closed = false;
@@ -100,6 +103,8 @@
     std::vector<OwnerCandidate> candidates(const Request &request, bool anyVersion) const;
     std::optional<OwnerCandidate> chooseOwner(Request &request);
     void tryNext(const RequestPointer &request);
+    void noteTime(const Request &request, std::chrono::microseconds time);
+    double routeFactor(const Request &request) const;
     WorkRequest workFor(const Request &request) const;
     void handled(const RequestPointer &request, const WorkResult &result);
     bool mayRetry(Request &request, const WorkResult &result);
--- a/modules/forwarding/owner_selector.cpp
+++ b/modules/forwarding/owner_selector.cpp
@@ -24,8 +24,8 @@
 
 } // namespace
 
-double OwnerSelector::cost(const OwnerCandidate &candidate, double fallbackServiceTime,
-                           std::chrono::milliseconds targetLeft)
+double OwnerSelector::expectedTime(const OwnerCandidate &candidate, double fallbackServiceTime,
+                                   double routeFactor) const
 {
     const BackendStatus &backend = candidate.backend;
     const double service = backend.serviceTime.count() > 0
@@ -33,23 +33,32 @@
                                    : fallbackServiceTime;
     const double limit = std::max(1.0, static_cast<double>(backend.limit));
     const double load = std::max(backend.running + backend.queued, candidate.outstanding);
-    double total = service;
+    double total = service * routeFactor;
     const double fill = load / limit;
     if (fill > m_options.comfortableLoad) {
-        total += service * m_options.crowdedPenalty
+        total += service * routeFactor * m_options.crowdedPenalty
                  * std::min(1.0,
                             (fill - m_options.comfortableLoad) / (1.0 - m_options.comfortableLoad));
     }
     if (load >= limit)
         total += (load - limit + 1.0) * service / limit;
-    total += service * m_options.failurePenalty * backend.failuresPerThousand / PerThousand;
+    return total + service * m_options.failurePenalty * backend.failuresPerThousand / PerThousand;
+}
+
+double OwnerSelector::cost(const OwnerCandidate &candidate, double fallbackServiceTime,
+                           const SelectionContext &context)
+{
+    const double target = static_cast<double>(context.targetLeft.count());
+    const double expected = expectedTime(candidate, fallbackServiceTime, context.routeFactor);
+    const double noisy = expected * (1.0 + m_options.noise * m_random.unit());
     if (!candidate.sameDomain)
-        total += m_options.otherDomainPart * static_cast<double>(targetLeft.count());
-    return total * (1.0 + m_options.noise * m_random.unit());
+        return noisy + m_options.otherDomainPart * target;
+    // Near owners that are fast enough compete among themselves only.
+    return expected <= m_options.nearPart * target ? noisy * m_options.otherDomainPart : noisy;
 }
 
 std::optional<std::size_t> OwnerSelector::choose(const std::vector<OwnerCandidate> &candidates,
-                                                 std::chrono::milliseconds targetLeft)
+                                                 const SelectionContext &context)
 {
     const double fallback = meanServiceTime(candidates);
     std::optional<std::size_t> best;
@@ -58,7 +67,7 @@
     double lowestCold = 0.0;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         const OwnerCandidate &candidate = candidates[i];
-        const double price = cost(candidate, fallback, targetLeft);
+        const double price = cost(candidate, fallback, context);
         const bool cold = candidate.backend.startsPerSecond > 0;
         std::optional<std::size_t> &winner = cold ? bestCold : best;
         double &winning = cold ? lowestCold : lowest;
--- a/modules/forwarding/owner_selector.h
+++ b/modules/forwarding/owner_selector.h
@@ -19,6 +19,8 @@
      * Bytes between failure domains are dear, and a near owner that still answers in time will do.
      */
     double otherDomainPart = 0.5;
+    /** A near owner that is expected to answer within this part of the target latency will do. */
+    double nearPart = 0.7;
     /** How much a failing backend server's answers count as longer: at 1 in 10 by this part of 10.
      */
     double failurePenalty = 4.0;
@@ -40,14 +42,23 @@
     std::uint32_t senders = 1;     ///< Nodes that may send to it.
 };
 
+/** What a choice depends on beside the candidates. */
+struct SelectionContext
+{
+    std::chrono::milliseconds targetLeft{0};
+    double routeFactor = 1.0; ///< The route's service time as a multiple of its service's mean.
+};
+
 /** Chooses where a request is expected to be answered first. */
 class OwnerSelector
 {
     OwnerSelectorOptions m_options;
     Random m_random;
 
+    double expectedTime(const OwnerCandidate &candidate, double fallbackServiceTime,
+                        double routeFactor) const;
     double cost(const OwnerCandidate &candidate, double fallbackServiceTime,
-                std::chrono::milliseconds targetLeft);
+                const SelectionContext &context);
 
 public:
     OwnerSelector(const OwnerSelectorOptions &options, std::uint64_t seed)
@@ -57,7 +68,7 @@
 
     /** Returns the position of the best candidate, or nothing if there is none. */
     std::optional<std::size_t> choose(const std::vector<OwnerCandidate> &candidates,
-                                      std::chrono::milliseconds targetLeft);
+                                      const SelectionContext &context);
 };
 
 } // namespace jacinthshift
--- a/modules/forwarding/tests/test_owner_selector.cpp
+++ b/modules/forwarding/tests/test_owner_selector.cpp
@@ -26,7 +26,8 @@
     OwnerSelector selector(OwnerSelectorOptions{}, 7);
     std::map<std::string, int> counts;
     for (int i = 0; i < 1'000; ++i) {
-        const std::optional<std::size_t> chosen = selector.choose(candidates, milliseconds(500));
+        const std::optional<std::size_t> chosen =
+                selector.choose(candidates, {.targetLeft = milliseconds(500)});
         REQUIRE(chosen.has_value());
         ++counts[candidates[*chosen].node];
     }
@@ -40,6 +41,16 @@
     CHECK(choices({candidate("near", true, 10), candidate("far", false, 0)})["near"] == 1'000);
 }
 
+TEST_CASE("a slower near owner that answers in time is taken before a faster one far away")
+{
+    CHECK(choices({candidate("near", true, 3, milliseconds(300)),
+                   candidate("far", false, 0, milliseconds(40))})["near"]
+          == 1'000);
+    CHECK(choices({candidate("near", true, 3, milliseconds(700)),
+                   candidate("far", false, 0, milliseconds(40))})["far"]
+          == 1'000);
+}
+
 TEST_CASE("surge in one failure domain: what would come late there goes to another one")
 {
     OwnerCandidate near = candidate("near", true, 10);
@@ -81,7 +92,7 @@
 TEST_CASE("without candidates there is no choice")
 {
     OwnerSelector selector(OwnerSelectorOptions{}, 7);
-    CHECK_FALSE(selector.choose({}, milliseconds(500)).has_value());
+    CHECK_FALSE(selector.choose({}, {.targetLeft = milliseconds(500)}).has_value());
 }
 
 } // namespace jacinthshift
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -375,6 +375,15 @@
     line("backend_waiting", backend.queued);
     line("backend_service_ms", backend.serviceTime.count());
     line("backend_failures_per_thousand", backend.failuresPerThousand);
+    for (std::size_t kind = 0; kind < std::variant_size_v<FleetMessage>; ++kind) {
+        for (const bool far : {false, true}) {
+            const FrameCount &sent = network.sent(kind, far);
+            const std::string label =
+                    joinText("{kind=\"", kind, "\",far=\"", far ? "yes" : "no", "\"} ");
+            text += joinText("jacinthshift_link_frames_total", label, sent.frames,
+                             "\njacinthshift_link_bytes_total", label, sent.bytes, "\n");
+        }
+    }
     const LogLosses losses = logLosses();
     line("log_lines_limited_total", losses.limited);
     line("log_lines_dropped_total", losses.dropped);
