--- a/drivers/beast/beast_http_client.cpp
+++ b/drivers/beast/beast_http_client.cpp
@@ -20,6 +20,7 @@
 namespace http = boost::beast::http;
 
 constexpr std::size_t ReadBytes = 16 * 1024;
+constexpr std::chrono::milliseconds IdleWithoutCheck{100};
 constexpr std::uint32_t MaxHeaderBytes = 32 * 1024;
 
 /** Returns how long a connection may be idle by the Keep-Alive header, or zero if it is not told.
@@ -126,6 +127,9 @@
     if (tooOld)
         return nullptr;
     connections.pop_back();
+    // Its end may wait in this very round of events, or the loop has not run for a while.
+    if (age > IdleWithoutCheck && !newest->socket.isQuiet())
+        return takeIdle(server, maxIdle);
     return newest;
 }
 
--- a/drivers/epoll/epoll_loop.cpp
+++ b/drivers/epoll/epoll_loop.cpp
@@ -145,9 +145,11 @@
 {
     EpollLoop *loop = reinterpret_cast<LoopSource *>(source)->loop;
     loop->m_now = std::chrono::steady_clock::now();
+    loop->m_dispatching = true;
     loop->runEvents();
     loop->runTimers();
     loop->runDeferred();
+    loop->m_dispatching = false;
     return G_SOURCE_CONTINUE;
 }
 
@@ -246,7 +248,7 @@
                          Callback callback)
 {
     const std::uint64_t id = ++m_lastTimer;
-    const SteadyTime due = m_now + std::max(delay, std::chrono::milliseconds(0));
+    const SteadyTime due = now() + std::max(delay, std::chrono::milliseconds(0));
     m_subscriptions.emplace(id, Subscription{due, period, std::move(callback)});
     m_queue.emplace(std::pair(due, id), id);
     return static_cast<TimerId>(id);
--- a/drivers/epoll/epoll_loop.h
+++ b/drivers/epoll/epoll_loop.h
@@ -55,6 +55,7 @@
     std::vector<Callback> m_deferred;
     std::uint64_t m_lastTimer = 0;
     SteadyTime m_now;
+    bool m_dispatching = false;
 
     EpollLoop();
 
@@ -91,8 +92,11 @@
     /** Calls back at the end of the present round, or at the next one if none runs. */
     void defer(Callback callback);
 
-    /** Returns the time at which the present round of events began. */
-    SteadyTime now() const override { return m_now; }
+    /** Returns the time at which the present round of events began; between rounds, the clock. */
+    SteadyTime now() const override
+    {
+        return m_dispatching ? m_now : std::chrono::steady_clock::now();
+    }
     WallTime wallNow() const override;
     TimerId startOnce(std::chrono::milliseconds delay, Callback callback) override;
     TimerId startPeriodic(std::chrono::milliseconds period, Callback callback) override;
