--- a/drivers/tests/test_http_server.cpp
+++ b/drivers/tests/test_http_server.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-const Endpoint Address{"127.0.0.1", 18'391};
+const Endpoint listenAddress{"127.0.0.1", 18'391};
 
 struct ServerBench
 {
@@ -25,16 +25,17 @@
     explicit ServerBench(const HttpServerOptions &options = {}) : server(options)
     {
         const absl::Status status = server.listen(
-                Address, [this](HttpRequest request, std::shared_ptr<HttpResponder> responder) {
+                listenXX
                     requests.push_back(std::move(request));
-                    responder->onCallerGone([this] { ++gone; });
+                    responder->onCallerGone([this] {
+            ++gone; });
                     if (hold)
                         held.push_back(responder);
                     else
                         responder->respond(HttpResponse{.body = requests.back().body + "!"});
-                });
-        REQUIRE(status.ok());
-    }
+    });
+    REQUIRE(status.ok());
+}
 };
 
 template <typename Condition>
@@ -57,7 +58,7 @@
 
     explicit RawPeer(const std::string &bytes)
     {
-        REQUIRE(socket.connect(Address, ""));
+        REQUIRE(socket.connect(listenAddress, ""));
         socket.waitWritable([this, bytes] {
             std::size_t written = 0;
             socket.write(bytes.data(), bytes.size(), written);
@@ -168,22 +169,20 @@
     bench.server.stopListening();
     BeastHttpServer crossed({});
     const Endpoint address{"127.0.0.1", 18'392};
-    REQUIRE(crossed
-                    .listen(address,
-                            [](const HttpRequest &request,
-                               const std::shared_ptr<HttpResponder> &responder) {
-                                const std::string id(findHeader(request.headers, "Id"));
-                                responder->respond(HttpResponse{
-                                        .headers = {{"Id", id == "2" ? "1" : id}}, .body = id});
-                            })
+    REQUIRE(crossed.listen(address,
+                           [](const HttpRequest &request,
+                              const std::shared_ptr<HttpResponder> &responder) {
+                               const std::string id(findHeader(request.headers, "Id"));
+                               responder->respond(HttpResponse{
+                                       .headers = {{"Id", id == "2" ? "1" : id}}, .body = id});
+                           })
                     .ok());
     BeastHttpClient client({});
     const auto send = [&](const std::string &id) {
         std::optional<HttpResult> result;
-        client.send({.server = address,
-                     .timeout = milliseconds(150),
-                     .correlation = {"Id", id}},
-                    {.headers = {{"Id", id}}}, [&](HttpResult outcome) { result = outcome; });
+        client.send({.server = address, .timeout = milliseconds(150), .correlation = {"Id", id}},
+                    {.headers = {{"Id", id}}},
+                    [&](const HttpResult &outcome) { result = outcome; });
         runUntil([&] { return result.has_value(); });
         return *result;
     };
--- a/modules/fleet/fleet_network.cpp
+++ b/modules/fleet/fleet_network.cpp
@@ -121,13 +121,16 @@
         peer.reachableAt = now;
         const SteadyTime::duration silence = now - peer.heardAt;
         const bool wasSilent = peer.silent;
-        peer.silent = silence > silenceLimit();
+        const bool unanswered =
+                peer.probedAt != SteadyTime() && now - peer.probedAt > m_options.probeTimeout;
+        peer.silent = silence > silenceLimit() || unanswered;
         if (peer.silent && !wasSilent) {
             logEvent(Event::PeerSilent,
                      {{"peer", peer.contact.node},
                       {"silent_ms",
                        std::chrono::duration_cast<std::chrono::milliseconds>(silence).count()}});
             peer.nextDial = now;
+            peer.silentSince = now;
         }
         if (silence > m_options.closeAfter) {
             for (const LinkId link : std::vector<LinkId>(peer.links))
@@ -148,11 +151,17 @@
     m_links[peer.dialing] = Link{.outgoing = true};
 }
 
-void FleetNetwork::setStatus(const StatusMessage &status, bool sendNow)
+void FleetNetwork::setStatus(const StatusMessage &status, StatusUrgency urgency)
 {
     m_status = status;
-    if (sendNow)
+    if (urgency == StatusUrgency::Everywhere) {
         sendStatus();
+    } else if (urgency == StatusUrgency::OwnDomain) {
+        for (const auto &[node, peer] : m_peers) {
+            if (peer.contact.domain == m_options.self.domain)
+                send(node, m_status);
+        }
+    }
 }
 
 void FleetNetwork::sendStatus()
@@ -196,6 +205,19 @@
     return m_transport.send(link, frame);
 }
 
+void FleetNetwork::probe(const std::string &node)
+{
+    const auto found = m_peers.find(node);
+    if (found == m_peers.end() || found->second.links.empty())
+        return;
+    FleetPeer &peer = found->second;
+    const SteadyTime now = m_timers.now();
+    if (peer.probedAt != SteadyTime() || now - peer.heardAt < m_options.probeAfter)
+        return;
+    peer.probedAt = now;
+    send(node, ProbeMessage());
+}
+
 void FleetNetwork::broadcast(const FleetMessage &message)
 {
     const std::string frame = encodeFleetMessage(message);
@@ -234,7 +256,11 @@
     }
     FleetPeer &peer = found->second;
     peer.heardAt = m_timers.now();
+    peer.probedAt = SteadyTime();
     peer.silent = false;
+    const ProbeMessage *probe = std::get_if<ProbeMessage>(&*message);
+    if (probe != nullptr && !probe->reply)
+        send(node, ProbeMessage{.reply = true});
     if (const StatusMessage *status = std::get_if<StatusMessage>(&*message)) {
         peer.status = *status;
         peer.statusAt = m_timers.now();
@@ -281,6 +307,7 @@
         peer.links.push_back(link);
     peer.heardAt = m_timers.now();
     peer.reachableAt = peer.heardAt;
+    peer.probedAt = SteadyTime();
     peer.silent = false;
     // Bytes between failure domains are dear, processor time within one is not worth it.
     m_transport.setCompression(link, contact.domain != m_options.self.domain);
--- a/modules/fleet/fleet_network.h
+++ b/modules/fleet/fleet_network.h
@@ -29,6 +29,10 @@
     /** Between failure domains a heartbeat goes out only after so many periods without a message.
      */
     std::int64_t farHeartbeatFactor = 2;
+    /** A node that owes an answer and was not heard of for so long is asked for a sign of life. */
+    std::chrono::milliseconds probeAfter{250};
+    /** A probe without answer for so long makes the link silent. */
+    std::chrono::milliseconds probeTimeout{300};
     std::chrono::milliseconds closeAfter{4'000}; ///< A link that is silent for longer is closed.
     std::chrono::milliseconds firstRedial{150};
     std::chrono::milliseconds longestRedial{1'500};
@@ -43,9 +47,11 @@
 {
     NodeContact contact;
     StatusMessage status;
-    SteadyTime statusAt; ///< When the status came.
-    SteadyTime heardAt;  ///< When anything came from it.
-    SteadyTime sentAt;   ///< When anything was last sent to it.
+    SteadyTime statusAt;    ///< When the status came.
+    SteadyTime heardAt;     ///< When anything came from it.
+    SteadyTime sentAt;      ///< When anything was last sent to it.
+    SteadyTime probedAt;    ///< When it was asked for a sign of life; zero once it gave one.
+    SteadyTime silentSince; ///< Holds while silent is set.
     bool hasStatus = false;
     std::vector<LinkId> links; ///< Greeted links, the newest last.
     LinkId dialing = LinkId::None;
@@ -63,6 +69,9 @@
     std::uint64_t bytes = 0;
 };
 
+/** To whom a new status goes before the next heartbeat. */
+enum class StatusUrgency { Nobody, OwnDomain, Everywhere };
+
 /** Learns what other nodes say. */
 class FleetObserver
 {
@@ -120,12 +129,14 @@
     /** Dials a node of which only the address is known. */
     void addSeed(const Endpoint &links);
 
-    /** Sets this node's status; it is sent at once if asked, otherwise with the next heartbeat. */
-    void setStatus(const StatusMessage &status, bool sendNow);
+    void setStatus(const StatusMessage &status, StatusUrgency urgency);
     /** Sends to a node. Returns false if it has no link. */
     bool send(const std::string &node, const FleetMessage &message);
     void broadcast(const FleetMessage &message);
 
+    /** Asks a node for a sign of life if it has not been heard of for a while. */
+    void probe(const std::string &node);
+
     const std::map<std::string, FleetPeer> &peers() const { return m_peers; }
     const FleetPeer *peer(const std::string &node) const;
     /** Returns whether a node has a link that is not silent. */
--- a/modules/fleet/message_codec.cpp
+++ b/modules/fleet/message_codec.cpp
@@ -334,6 +334,16 @@
     message.outcome = enumerator(source.at(3), RolloutOutcome::RolledBack);
 }
 
+json encode(const ProbeMessage &message)
+{
+    return message.reply;
+}
+
+void decode(const json &source, ProbeMessage &message)
+{
+    source.get_to(message.reply);
+}
+
 /** Reads the fields of the alternative with the given number, which is below the variant's size. */
 template <std::size_t Index = 0>
 FleetMessage decodeAlternative(std::size_t number, const json &fields)
--- a/modules/fleet/messages.h
+++ b/modules/fleet/messages.h
@@ -176,6 +176,12 @@
     std::string backend; ///< The one that crashed; empty if the request is cleared.
 };
 
+/** Asks for a sign of life, or gives it. */
+struct ProbeMessage
+{
+    bool reply = false;
+};
+
 /** How a rollout ended. */
 enum class RolloutOutcome { Open, Completed, RolledBack };
 
@@ -189,10 +195,10 @@
 };
 
 /** In the order of their numbers on the wire. */
-using FleetMessage =
-        std::variant<GreetingMessage, StatusMessage, WorkCallMessage, WorkResultMessage,
-                     WorkCancelMessage, WorkResumeMessage, TableFetchMessage, TableNewsMessage,
-                     VersionEvidenceMessage, CrashSuspectMessage, RolloutProgressMessage>;
+using FleetMessage = std::variant<GreetingMessage, StatusMessage, WorkCallMessage,
+                                  WorkResultMessage, WorkCancelMessage, WorkResumeMessage,
+                                  TableFetchMessage, TableNewsMessage, VersionEvidenceMessage,
+                                  CrashSuspectMessage, RolloutProgressMessage, ProbeMessage>;
 
 /** Returns the name used in logs. */
 std::string_view refusalName(WorkRefusal refusal);
--- a/modules/fleet/remote_caller.cpp
+++ b/modules/fleet/remote_caller.cpp
@@ -29,7 +29,8 @@
     m_calls.emplace(id, Call{.node = node,
                              .incarnation = peer == nullptr ? 0 : peer->contact.incarnation,
                              .callback = std::move(callback),
-                             .deadline = m_timers.now() + work.timeLeft});
+                             .deadline = m_timers.now() + work.timeLeft,
+                             .idempotent = work.idempotent});
     ++m_perNode[node];
     if (!m_network.send(node, WorkCallMessage{.call = id, .work = work})) {
         m_timers.startOnce(std::chrono::milliseconds(0), [this, id] {
@@ -68,18 +69,27 @@
 
 void RemoteCaller::check()
 {
-    const SteadyTime now = m_timers.now();
     std::vector<std::uint64_t> lost;
     for (const auto &[id, call] : m_calls) {
-        const bool linkless = call.linklessSince != SteadyTime()
-                              && now - call.linklessSince > m_options.linkLossPatience;
-        if (linkless)
+        if (isGivenUp(call))
             lost.push_back(id);
     }
     for (const std::uint64_t id : lost)
         finish(id, lostResult(WorkRefusal::Lost));
 }
 
+bool RemoteCaller::isGivenUp(const Call &call)
+{
+    const SteadyTime now = m_timers.now();
+    if (call.linklessSince != SteadyTime())
+        return now - call.linklessSince > m_options.linkLossPatience;
+    m_network.probe(call.node);
+    const FleetPeer *peer = m_network.peer(call.node);
+    // What must not run twice waits for the owner's word as long as it can.
+    return call.idempotent && peer != nullptr && peer->silent
+           && now - peer->silentSince > m_options.silencePatience;
+}
+
 void RemoteCaller::resume(const std::string &node)
 {
     WorkResumeMessage message;
--- a/modules/fleet/remote_caller.h
+++ b/modules/fleet/remote_caller.h
@@ -12,6 +12,8 @@
 {
     /** How long a call without a link may wait for a new one before it is given up. */
     std::chrono::milliseconds linkLossPatience{700};
+    /** How long an idempotent call waits for a node that went silent before it goes elsewhere. */
+    std::chrono::milliseconds silencePatience{100};
     std::chrono::milliseconds checkPeriod{50};
 };
 
@@ -34,6 +36,7 @@
         Callback callback;
         SteadyTime deadline;
         SteadyTime linklessSince; ///< Zero while there is a link.
+        bool idempotent = false;
     };
 
     RemoteCallerOptions m_options;
@@ -45,6 +48,7 @@
     Timer m_check;
 
     void check();
+    bool isGivenUp(const Call &call);
     void finish(std::uint64_t call, const WorkResult &result);
     void resume(const std::string &node);
 
--- a/modules/fleet/tests/test_fleet_codec.cpp
+++ b/modules/fleet/tests/test_fleet_codec.cpp
@@ -51,6 +51,7 @@
             TableNewsMessage{.page = {.records = {{"k", "v", 3}}, .end = 4}},
             VersionEvidenceMessage{.service = "s", .routes = {{.route = "r"}}},
             CrashSuspectMessage{.fingerprint = ~0ULL, .backend = "b"},
+            ProbeMessage{.reply = true},
             RolloutProgressMessage{.step = 2, .outcome = RolloutOutcome::RolledBack}};
     for (const FleetMessage &message : messages) {
         INFO(message.index());
--- a/modules/fleet/tests/test_remote_calls.cpp
+++ b/modules/fleet/tests/test_remote_calls.cpp
@@ -170,6 +170,20 @@
     CHECK(nodes.a.caller.outstanding("b") == 0);
 }
 
+TEST_CASE("loss of a failure domain: an idempotent call to a silent node goes elsewhere in time")
+{
+    TwoNodes nodes;
+    nodes.a.caller.call("b", WorkRequest{.idempotent = true, .timeLeft = milliseconds(1'200)},
+                        [&](const WorkResult &answer) { nodes.result = answer; });
+    nodes.timers.advance(milliseconds(10));
+    nodes.hub.listeners.clear();
+    nodes.a.transport.silenceAll();
+    nodes.timers.advance(milliseconds(890));
+    REQUIRE(nodes.result.has_value());
+    CHECK(nodes.result->verdict == Verdict::MayHaveRun);
+    CHECK_FALSE(nodes.a.network.isReachable(*nodes.a.network.peer("b")));
+}
+
 TEST_CASE("nodes learn of each other through a node that both know")
 {
     TwoNodes nodes;
--- a/modules/forwarding/forwarder.cpp
+++ b/modules/forwarding/forwarder.cpp
@@ -280,6 +280,9 @@
                                      {"after", refusalName(result.refusal)},
                                      {"verdict", verdictName(result.verdict)},
                                      {"try", request->handOvers}});
+    // A new version that has just failed is not asked again while another one can answer.
+    if (request->version.mayFallBack && result.reachedBackend)
+        request->version = VersionChoice{.only = "", .excluded = request->version.only};
     tryNext(request);
 }
 
--- a/modules/owner/tests/test_admission_queue.cpp
+++ b/modules/owner/tests/test_admission_queue.cpp
@@ -11,11 +11,11 @@
 
 namespace {
 
-const SteadyTime Start{std::chrono::hours(1)};
+const SteadyTime epoch{std::chrono::hours(1)};
 
 SteadyTime at(int millisecond)
 {
-    return Start + milliseconds(millisecond);
+    return epoch + milliseconds(millisecond);
 }
 
 AdmissionTicket ticket(std::uint64_t id, int now, int target, int deadline,
--- a/modules/owner/tests/test_backend_owner.cpp
+++ b/modules/owner/tests/test_backend_owner.cpp
@@ -10,12 +10,12 @@
 
 namespace {
 
-const HeaderNames Names{.requestId = "Id",
-                        .deadline = "Left",
-                        .expectedInstance = "Expected",
-                        .callerService = "Caller",
-                        .notRun = "Not-Run",
-                        .seal = "Seal"};
+const HeaderNames headerNames{.requestId = "Id",
+                              .deadline = "Left",
+                              .expectedInstance = "Expected",
+                              .callerService = "Caller",
+                              .notRun = "Not-Run",
+                              .seal = "Seal"};
 
 struct SilentObserver final : public OwnerObserver
 {
@@ -36,8 +36,8 @@
     ManualTimerService timers;
     PoisonRegistry poison{PoisonRegistryOptions{}};
     SilentObserver observer;
-    BackendOwner owner{BackendOwnerOptions{.node = "n", .service = "s", .headers = Names}, http,
-                       timers, poison, observer};
+    BackendOwner owner{BackendOwnerOptions{.node = "n", .service = "s", .headers = headerNames},
+                       http, timers, poison, observer};
     std::vector<WorkResult> results;
     std::uint64_t sequence = 0;
 
--- a/modules/rollout/tests/test_rollout_judge.cpp
+++ b/modules/rollout/tests/test_rollout_judge.cpp
@@ -10,13 +10,13 @@
 
 namespace {
 
-const FaultDetectorOptions Detector = RolloutControllerOptions{}.detector;
+const FaultDetectorOptions detectorOptions = RolloutControllerOptions{}.detector;
 
 /** Plays requests of two versions to owners and tells how many the new one got until its fault. */
 class SimulatedRollout
 {
     Random m_random;
-    RolloutJudge m_judge{"v2", Detector};
+    RolloutJudge m_judge{"v2", detectorOptions};
     std::map<std::string, VersionEvidenceMessage> m_owners;
 
     void request(const std::string &node, const std::string &version, double failures,
@@ -109,7 +109,7 @@
 
 TEST_CASE("an owner that starts again counts from zero and its old counts stay")
 {
-    RolloutJudge judge("v2", Detector);
+    RolloutJudge judge("v2", detectorOptions);
     VersionEvidenceMessage report{.version = "v2", .backend = "b1", .routes = {{.route = "r"}}};
     report.routes[0].counts.requests = 10;
     judge.addReport("n", report);
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -119,7 +119,7 @@
     void operatorRecord(const KeyedRecord &record);
     void installConfig(TrafficConfig newConfig);
     void setDomain(const DomainOrder &order);
-    void publishStatus(bool now);
+    void publishStatus(StatusUrgency urgency);
     void handleControl(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
     absl::Status takeHeartbeat(const std::string &id, const HttpRequest &request);
     std::string metricsText() const;
@@ -128,7 +128,7 @@
     void beginShutdown();
     void continueShutdown();
 
-    void ownerChanged() override { publishStatus(true); }
+    void ownerChanged() override { publishStatus(StatusUrgency::Everywhere); }
     void requestSuspected(std::uint64_t fingerprint, const std::string &backend) override;
     void requestCleared(std::uint64_t fingerprint) override;
     void fleetMessage(const std::string &node, const FleetMessage &message) override;
@@ -230,8 +230,9 @@
     contacts.start();
     follower.setActive(true);
     logTimer = Timer(timers, timers.startPeriodic(LogFlushPeriod, [] { flushLog(); }));
-    statusTimer = Timer(timers, timers.startPeriodic(std::chrono::milliseconds(100),
-                                                     [this] { publishStatus(false); }));
+    statusTimer = Timer(timers, timers.startPeriodic(std::chrono::milliseconds(100), [this] {
+        publishStatus(StatusUrgency::Nobody);
+    }));
     settingsTimer = Timer(
             timers, timers.startPeriodic(SettingsCheckPeriod, [this] { checkSettingsFile(); }));
     logEvent(Event::NodeStarted, {{"callers", settings.callers.text()},
@@ -281,7 +282,7 @@
     logEvent(Event::TrafficConfigInForce, {{"version", config.version},
                                            {"routes", routes.size()},
                                            {"services", config.services.size()}});
-    publishStatus(true);
+    publishStatus(StatusUrgency::OwnDomain);
 }
 
 void MeshNode::Parts::setDomain(const DomainOrder &order)
@@ -292,13 +293,13 @@
         owner.setTakenOut(order.out);
 }
 
-void MeshNode::Parts::publishStatus(bool now)
+void MeshNode::Parts::publishStatus(StatusUrgency urgency)
 {
     const StatusMessage status{.tableEnd = table.end(),
                                .leaving = stopping,
                                .readsLog = follower.isActive() && follower.isReachable(),
                                .backend = owner.status()};
-    network.setStatus(status, now);
+    network.setStatus(status, urgency);
 }
 
 absl::Status MeshNode::Parts::takeHeartbeat(const std::string &id, const HttpRequest &request)
@@ -435,7 +436,7 @@
              {{"requests", forwarder.openRequests()}, {"work", owner.openWork()}});
     owner.setLeaving();
     callerServer.closeAfterAnswers();
-    publishStatus(true);
+    publishStatus(StatusUrgency::Everywhere);
     shutdownTimer = Timer(
             timers, timers.startPeriodic(ShutdownCheckPeriod, [this] { continueShutdown(); }));
 }
