--- a/drivers/tests/test_http_server.cpp
+++ b/drivers/tests/test_http_server.cpp
@@ -25,17 +25,17 @@
     explicit ServerBench(const HttpServerOptions &options = {}) : server(options)
     {
         const absl::Status status = server.listen(
-                listenXX
+                listenAddress,
+                [this](HttpRequest request, const std::shared_ptr<HttpResponder> &responder) {
                     requests.push_back(std::move(request));
-                    responder->onCallerGone([this] {
-            ++gone; });
+                    responder->onCallerGone([this] { ++gone; });
                     if (hold)
                         held.push_back(responder);
                     else
                         responder->respond(HttpResponse{.body = requests.back().body + "!"});
-    });
-    REQUIRE(status.ok());
-}
+                });
+        REQUIRE(status.ok());
+    }
 };
 
 template <typename Condition>
