--- a/cli/commands.cpp
+++ b/cli/commands.cpp
@@ -2,6 +2,7 @@
 
 #include <iostream>
 
+#include "cli/explain.h"
 #include "cli/local_commands.h"
 #include "cli/mesh_commands.h"
 
@@ -31,6 +32,8 @@
              runRelease},
             {"domain", "take a failure domain out of service or bring it back",
              "domain take-out DOMAIN | bring-back DOMAIN  --node=IP:PORT --log=IP:PORT", runDomain},
+            {"explain", "show what the nodes decided about a request",
+             "explain REQUEST_ID LOG_FILE...", runExplain},
             {"report", "show how the moves of a time window ended",
              "report --node=IP:PORT [--window=24h]", runReport},
     };
--- a/core/logger.cpp
+++ b/core/logger.cpp
@@ -1,5 +1,6 @@
 #include "core/logger.h"
 
+#include <algorithm>
 #include <chrono>
 #include <iostream>
 #include <map>
@@ -27,7 +28,9 @@
 
 namespace sinks = boost::log::sinks;
 
+// What goes wrong keeps more lines than what goes well.
 constexpr int LimitedLinesPerSecond = 20;
+constexpr int LimitedWarningsPerSecond = 100;
 
 /** Hands formatted lines to the output that never blocks. */
 class LogOutputBackend final
@@ -69,15 +72,18 @@
 }
 
 /** Returns false when the line must be dropped; fills in how many were dropped before it. */
-bool passesLimit(Event event, std::int64_t nowMilliseconds, std::int64_t &suppressed)
+bool passesLimit(const EventInfo &info, std::int64_t nowMilliseconds, std::int64_t &suppressed)
 {
+    const Event event = info.event;
+    const int limit =
+            info.level >= EventLevel::Warning ? LimitedWarningsPerSecond : LimitedLinesPerSecond;
     RateWindow &window = state().windows[event];
     const std::int64_t second = nowMilliseconds / 1000;
     if (window.second != second) {
         window.second = second;
         window.written = 0;
     }
-    if (window.written >= LimitedLinesPerSecond) {
+    if (window.written >= limit) {
         ++window.suppressed;
         ++state().limitedLines;
         return false;
@@ -88,21 +94,42 @@
     return true;
 }
 
+void appendJsonText(std::string &line, std::string_view text)
+{
+    const bool plain = std::all_of(text.begin(), text.end(), [](char c) {
+        return c >= ' ' && c < '\x7f' && c != '"' && c != '\\';
+    });
+    if (plain)
+        line.append("\"").append(text).append("\"");
+    else
+        line += nlohmann::json(text).dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
+}
+
+void appendJsonField(std::string &line, std::string_view key, std::string_view text)
+{
+    line.append(",\"").append(key).append("\":");
+    appendJsonText(line, text);
+}
+
 std::string jsonLine(const EventInfo &info, std::int64_t now, std::int64_t suppressed,
                      std::initializer_list<LogField> fields)
 {
-    nlohmann::ordered_json line;
-    line["at"] = now;
-    line["level"] = levelName(info.level);
-    line["event"] = static_cast<int>(info.event);
-    line["name"] = info.name;
-    line["node"] = state().options.node;
-    line["domain"] = state().options.failureDomain;
+    std::string line = "{\"at\":" + std::to_string(now);
+    appendJsonField(line, "level", levelName(info.level));
+    line += ",\"event\":" + std::to_string(static_cast<int>(info.event));
+    appendJsonField(line, "name", info.name);
+    appendJsonField(line, "node", state().options.node);
+    appendJsonField(line, "domain", state().options.failureDomain);
     if (suppressed > 0)
-        line["suppressed"] = suppressed;
-    for (const LogField &field : fields)
-        line[std::string(field.key)] = field.value;
-    return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+        line += ",\"suppressed\":" + std::to_string(suppressed);
+    for (const LogField &field : fields) {
+        if (field.isNumber)
+            line.append(",\"").append(field.key).append("\":").append(field.value);
+        else
+            appendJsonField(line, field.key, field.value);
+    }
+    line.push_back('}');
+    return line;
 }
 
 void appendQuoted(std::string &line, std::string_view value)
@@ -201,7 +228,7 @@
         return;
     const std::int64_t now = unixMilliseconds(std::chrono::system_clock::now());
     std::int64_t suppressed = 0;
-    if (info.limited && !passesLimit(event, now, suppressed))
+    if (info.limited && !passesLimit(info, now, suppressed))
         return;
     const bool json = state().options.format == LogFormat::JsonLines;
     BOOST_LOG(state().source) << (json ? jsonLine(info, now, suppressed, fields)
--- a/core/logger.h
+++ b/core/logger.h
@@ -16,11 +16,12 @@
 {
     std::string_view key;
     std::string value;
+    bool isNumber = false;
 
     LogField(std::string_view fieldKey, std::string_view text) : key(fieldKey), value(text) {}
     LogField(std::string_view fieldKey, const char *text) : key(fieldKey), value(text) {}
     LogField(std::string_view fieldKey, std::integral auto number)
-        : key(fieldKey), value(std::to_string(number))
+        : key(fieldKey), value(std::to_string(number)), isNumber(true)
     {
     }
 };
--- a/modules/forwarding/forwarder.cpp
+++ b/modules/forwarding/forwarder.cpp
@@ -250,8 +250,22 @@
     }
 }
 
+void Forwarder::noteTry(Request &request, const WorkResult &result) const
+{
+    const auto lasted = std::chrono::duration_cast<std::chrono::milliseconds>(
+            m_timers.now() - request.handedOverAt);
+    const std::string outcome =
+            result.verdict == Verdict::Done
+                    ? joinText("status ", result.response.status)
+                    : joinText(refusalName(result.refusal), ", ", verdictName(result.verdict));
+    request.trail += joinText(request.trail.empty() ? "" : "; ", request.owner, ": ", outcome,
+                              " after ", lasted.count(), " ms");
+}
+
 void Forwarder::handled(const RequestPointer &request, const WorkResult &result)
 {
+    if (result.verdict != Verdict::Done || result.response.status >= FirstServerError)
+        noteTry(*request, result);
     request->owner.clear();
     request->call = 0;
     request->lastRefusal = result.refusal;
@@ -332,6 +346,10 @@
 
 void Forwarder::timedOut(const RequestPointer &request)
 {
+    if (!request->owner.empty()) {
+        noteTry(*request,
+                WorkResult{.verdict = Verdict::MayHaveRun, .refusal = WorkRefusal::TimedOut});
+    }
     stopCall(*request);
     request->mayHaveRun = request->mayHaveRun || request->handOvers > 0;
     request->lastRefusal = WorkRefusal::TimedOut;
@@ -385,6 +403,25 @@
     responder->respond(refusal(status, requestId, retryAfter, reason));
 }
 
+void Forwarder::logFailure(const Request &request, int status, std::string_view reason,
+                           std::chrono::microseconds latency) const
+{
+    const SteadyTime now = m_timers.now();
+    logEvent(Event::RequestFailed,
+             {{"request", request.requestId},
+              {"route", request.route},
+              {"service", request.service},
+              {"status", status},
+              {"reason", reason},
+              {"idempotent", request.idempotent ? 1 : 0},
+              {"returning", request.returning ? 1 : 0},
+              {"tries", request.handOvers},
+              {"reached", request.reached},
+              {"left_ms", untilTime(now, request.deadline).count()},
+              {"ms", latency.count() / 1'000},
+              {"trail", request.trail.empty() ? "no owner could be asked" : request.trail}});
+}
+
 void Forwarder::answer(const RequestPointer &request, HttpResponse response,
                        std::string_view reason)
 {
@@ -393,15 +430,15 @@
     request->timeout.stop();
     m_requests.erase(request->id);
     m_metrics.requestAnswered(request->route, response.status, reason, latency);
-    const Event event =
-            response.status < FirstServerError ? Event::RequestServed : Event::RequestFailed;
-    logEvent(event, {{"request", request->requestId},
-                     {"route", request->route},
-                     {"status", response.status},
-                     {"reason", reason},
-                     {"tries", request->handOvers},
-                     {"last_owner", request->tried.empty() ? "" : request->tried.back()},
-                     {"ms", latency.count() / 1'000}});
+    if (response.status >= FirstServerError)
+        logFailure(*request, response.status, reason, latency);
+    else
+        logEvent(Event::RequestServed, {{"request", request->requestId},
+                                        {"route", request->route},
+                                        {"status", response.status},
+                                        {"tries", request->handOvers},
+                                        {"owner", request->tried.back()},
+                                        {"ms", latency.count() / 1'000}});
     request->responder->respond(response);
 }
 
--- a/modules/forwarding/forwarder.h
+++ b/modules/forwarding/forwarder.h
@@ -67,6 +67,7 @@
         SteadyTime arrivedAt;
         SteadyTime deadline;
         SteadyTime targetAt;
+        std::string trail; ///< What became of each try, for the log line of a failure.
         std::vector<std::string> tried;
         std::uint32_t handOvers = 0;
         std::uint32_t reached = 0; ///< Backend servers that bytes of it were sent to.
@@ -103,6 +104,7 @@
     std::vector<OwnerCandidate> candidates(const Request &request, bool anyVersion) const;
     std::optional<OwnerCandidate> chooseOwner(Request &request);
     void tryNext(const RequestPointer &request);
+    void noteTry(Request &request, const WorkResult &result) const;
     void noteTime(const Request &request, std::chrono::microseconds time);
     double routeFactor(const Request &request) const;
     WorkRequest workFor(const Request &request) const;
@@ -112,6 +114,8 @@
     void callerGone(const RequestPointer &request);
     void stopCall(Request &request);
     void giveUp(const RequestPointer &request);
+    void logFailure(const Request &request, int status, std::string_view reason,
+                    std::chrono::microseconds latency) const;
     void answer(const RequestPointer &request, HttpResponse response, std::string_view reason);
     void refuse(const std::shared_ptr<HttpResponder> &responder, const std::string &requestId,
                 int status, std::chrono::milliseconds retryAfter, std::string_view reason);
