--- a/modules/fleet/call_server.cpp
+++ b/modules/fleet/call_server.cpp
@@ -32,7 +32,7 @@
     expire();
     const CallKey key(callerName(node), message.call);
     // The same call may arrive late over a link that was given up.
-    if (m_running.contains(key) || m_results.contains(key))
+    if (m_running.contains(key) || m_ended.contains(key))
         return;
     m_running[key] = 0;
     const std::uint64_t id =
@@ -47,7 +47,9 @@
 void CallServer::finished(const std::string &node, const CallKey &key, const WorkResult &result)
 {
     m_running.erase(key);
-    keep(key, result);
+    remember(key, CallEnd::Finished);
+    m_results[key] = result;
+    m_resultExpiry.push_back(Kept{.key = key, .until = m_timers.now() + m_options.keepResults});
     sendResult(node, key.second, result);
 }
 
@@ -71,46 +73,59 @@
         const CallKey key(caller, call);
         if (m_running.contains(key))
             continue;
-        const auto kept = m_results.find(key);
-        if (kept != m_results.end() && kept->second.has_value()) {
-            sendResult(node, call, *kept->second);
-            continue;
-        }
-        // It never arrived. From now on it must not start, so "not run" stays true.
-        keep(key, std::nullopt);
-        sendResult(node, call,
-                   WorkResult{.verdict = Verdict::NotRun, .refusal = WorkRefusal::Lost});
+        sendResult(node, call, resultOf(key));
     }
 }
 
+WorkResult CallServer::resultOf(const CallKey &key)
+{
+    const auto kept = m_results.find(key);
+    if (kept != m_results.end())
+        return kept->second;
+    const auto ended = m_ended.find(key);
+    if (ended != m_ended.end() && ended->second == CallEnd::Finished)
+        return WorkResult{.verdict = Verdict::MayHaveRun,
+                          .refusal = WorkRefusal::Lost,
+                          .reachedBackend = true};
+    // It never arrived. From now on it must not start, so "not run" stays true.
+    remember(key, CallEnd::Fenced);
+    return WorkResult{.verdict = Verdict::NotRun, .refusal = WorkRefusal::Lost};
+}
+
 void CallServer::cancel(const std::string &node, std::uint64_t call)
 {
     const CallKey key(callerName(node), call);
     const auto running = m_running.find(key);
     if (running == m_running.end()) {
-        if (!m_results.contains(key))
-            keep(key, std::nullopt);
+        if (!m_ended.contains(key))
+            remember(key, CallEnd::Fenced);
         return;
     }
     const std::uint64_t id = running->second;
     m_running.erase(running);
-    keep(key, std::nullopt);
+    remember(key, CallEnd::Finished);
     m_handler.cancel(id);
 }
 
-void CallServer::keep(const CallKey &key, std::optional<WorkResult> result)
+void CallServer::remember(const CallKey &key, CallEnd end)
 {
-    m_results[key] = std::move(result);
-    m_expiry.push_back(Kept{.key = key, .until = m_timers.now() + m_options.keepResults});
+    m_ended[key] = end;
+    m_endedExpiry.push_back(Kept{.key = key, .until = m_timers.now() + m_options.rememberCalls});
 }
 
 void CallServer::expire()
 {
     const SteadyTime now = m_timers.now();
-    while (!m_expiry.empty()
-           && (m_expiry.front().until <= now || m_expiry.size() > m_options.maxKept)) {
-        m_results.erase(m_expiry.front().key);
-        m_expiry.pop_front();
+    const auto isDue = [now](const std::deque<Kept> &expiry, std::size_t limit) {
+        return !expiry.empty() && (expiry.front().until <= now || expiry.size() > limit);
+    };
+    while (isDue(m_resultExpiry, m_options.maxKept)) {
+        m_results.erase(m_resultExpiry.front().key);
+        m_resultExpiry.pop_front();
+    }
+    while (isDue(m_endedExpiry, m_options.maxRemembered)) {
+        m_ended.erase(m_endedExpiry.front().key);
+        m_endedExpiry.pop_front();
     }
 }
 
--- a/modules/fleet/call_server.h
+++ b/modules/fleet/call_server.h
@@ -32,6 +32,12 @@
     /** How long results are kept for callers that lost their link. */
     std::chrono::milliseconds keepResults{3'000};
     std::size_t maxKept = 4'096;
+    /**
+     * How long calls are remembered that have ended, or that were reported as not run. It must be
+     * longer than a frame can wait in a connection that a starved process has not read.
+     */
+    std::chrono::milliseconds rememberCalls{120'000};
+    std::size_t maxRemembered = 100'000;
 };
 
 /** Takes calls of other nodes and sends their results, over a new link if need be. */
@@ -39,6 +45,11 @@
 {
     using CallKey = std::pair<std::string, std::uint64_t>; ///< Node with incarnation, call.
 
+    /** Why a call must not start any more. */
+    enum class CallEnd {
+        Finished, ///< It has run, or was refused.
+        Fenced,   ///< It had not arrived when its result was asked for, or it was cancelled.
+    };
     struct Kept
     {
         CallKey key;
@@ -50,16 +61,18 @@
     TimerService &m_timers;
     WorkHandler &m_handler;
     std::map<CallKey, std::uint64_t> m_running;
-    // A result without value marks a call that must not start if it arrives late.
-    std::map<CallKey, std::optional<WorkResult>> m_results;
-    std::deque<Kept> m_expiry;
+    std::map<CallKey, WorkResult> m_results;
+    std::deque<Kept> m_resultExpiry;
+    std::map<CallKey, CallEnd> m_ended;
+    std::deque<Kept> m_endedExpiry;
 
     std::string callerName(const std::string &node) const;
     void take(const std::string &node, const WorkCallMessage &message);
     void finished(const std::string &node, const CallKey &key, const WorkResult &result);
     void resume(const std::string &node, const WorkResumeMessage &message);
     void cancel(const std::string &node, std::uint64_t call);
-    void keep(const CallKey &key, std::optional<WorkResult> result);
+    void remember(const CallKey &key, CallEnd end);
+    WorkResult resultOf(const CallKey &key);
     void expire();
     void sendResult(const std::string &node, std::uint64_t call, const WorkResult &result);
 
--- a/modules/fleet/tests/test_remote_calls.cpp
+++ b/modules/fleet/tests/test_remote_calls.cpp
@@ -137,6 +137,40 @@
     CHECK(nodes.b.work.started == 0);
 }
 
+TEST_CASE("a call that was reported as not run does not start, however late it arrives")
+{
+    TwoNodes nodes;
+    nodes.a.transport.silenceAll();
+    nodes.call();
+    nodes.timers.advance(milliseconds(2'000));
+    REQUIRE(nodes.result.has_value());
+    REQUIRE(nodes.result->verdict == Verdict::NotRun);
+    // A starved process reads its old connection only now; other calls have come meanwhile.
+    nodes.timers.advance(milliseconds(1'900));
+    nodes.call();
+    nodes.timers.advance(milliseconds(10));
+    const int started = nodes.b.work.started;
+    nodes.hub.release();
+    CHECK(nodes.b.work.started == started);
+}
+
+TEST_CASE("a call whose result is no longer kept is not reported as not run")
+{
+    TwoNodes nodes;
+    nodes.call();
+    nodes.timers.advance(milliseconds(10));
+    nodes.a.transport.silenceAll();
+    nodes.hub.listeners.clear();
+    nodes.b.work.finishAll();
+    nodes.timers.advance(milliseconds(3'500));
+    nodes.b.server.fleetMessage("a", WorkCallMessage{.call = 77});
+    nodes.b.server.fleetMessage("a", WorkResumeMessage{.calls = {1}});
+    nodes.hub.release();
+    nodes.timers.advance(milliseconds(10));
+    REQUIRE(nodes.result.has_value());
+    CHECK(nodes.result->verdict != Verdict::NotRun);
+}
+
 TEST_CASE("after the owner's process was replaced nobody knows whether the request ran")
 {
     ManualTimerService timers;
--- a/tests/support/fake_link_hub.h
+++ b/tests/support/fake_link_hub.h
@@ -2,11 +2,13 @@
 #define TESTS_SUPPORT_FAKE_LINK_HUB_H
 
 #include <chrono>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "servers/link_transport.h"
 #include "tests/support/manual_timer_service.h"
@@ -22,8 +24,16 @@
     ManualTimerService &timers;
     std::map<Endpoint, FakeLinkTransport *> listeners;
     std::set<LinkId> silenced;
+    std::vector<std::function<void()>> held; ///< Frames on silenced links.
     std::uint64_t lastLink = 0;
 
+    /** Delivers what silenced links have held, in order. */
+    void release()
+    {
+        for (const std::function<void()> &deliver : std::exchange(held, {}))
+            deliver();
+    }
+
     explicit FakeLinkHub(ManualTimerService &timerService) : timers(timerService) {}
 };
 
@@ -81,8 +91,13 @@
         if (found == m_links.end())
             return false;
         const Peer peer = found->second;
-        if (m_hub.silenced.contains(link) || m_hub.silenced.contains(peer.link))
+        if (m_hub.silenced.contains(link) || m_hub.silenced.contains(peer.link)) {
+            m_hub.held.push_back([peer, frame] {
+                if (peer.transport->m_links.contains(peer.link))
+                    peer.transport->m_observer->linkFrame(peer.link, frame);
+            });
             return true;
+        }
         after([peer, frame] {
             if (peer.transport->m_links.contains(peer.link))
                 peer.transport->m_observer->linkFrame(peer.link, frame);
