--- a/modules/fleet/fleet_network.cpp
+++ b/modules/fleet/fleet_network.cpp
@@ -177,11 +177,15 @@
 {
     const SteadyTime now = m_timers.now();
     m_nextHeartbeat = now + heartbeatPeriod();
+    const std::string frame = encodeFleetMessage(m_status);
     for (auto &[node, peer] : m_peers) {
         const bool near = peer.contact.domain == m_options.self.domain;
         if (!near && now - peer.sentAt < heartbeatPeriod() * m_options.farHeartbeatFactor)
             continue;
-        send(node, m_status);
+        if (peer.links.empty())
+            continue;
+        peer.sentAt = now;
+        transmit(peer.links.back(), peer, m_status, frame);
     }
 }
 
--- a/modules/fleet/fleet_network.h
+++ b/modules/fleet/fleet_network.h
@@ -113,7 +113,6 @@
     void sendStatus();
     void sendHeartbeats();
     void greeted(LinkId link, const GreetingMessage &greeting);
-    std::chrono::milliseconds heartbeatPeriod() const;
     std::chrono::milliseconds silenceLimit() const;
     GreetingMessage greeting() const;
     bool transmit(LinkId link, const FleetPeer &peer, const FleetMessage &message,
@@ -137,6 +136,8 @@
     /** Asks a node for a sign of life if it has not been heard of for a while. */
     void probe(const std::string &node);
 
+    /** Returns the time between two heartbeats, which grows with the number of links. */
+    std::chrono::milliseconds heartbeatPeriod() const;
     const std::map<std::string, FleetPeer> &peers() const { return m_peers; }
     const FleetPeer *peer(const std::string &node) const;
     /** Returns whether a node has a link that is not silent. */
--- a/modules/owner/admission_queue.cpp
+++ b/modules/owner/admission_queue.cpp
@@ -212,11 +212,17 @@
 AdmissionTurns AdmissionQueue::turns(SteadyTime now)
 {
     AdmissionTurns due;
+    // What has turned late is overtaken by all that are not, so it is told at once and may go
+    // elsewhere.
+    const bool othersInTime =
+            std::any_of(m_waiting.begin(), m_waiting.end(),
+                        [&](const AdmissionTicket &ticket) { return !isLate(ticket, now); });
     std::erase_if(m_waiting, [&](const AdmissionTicket &ticket) {
-        const bool hopeless = isHopeless(ticket, now);
-        if (hopeless)
+        const bool overtaken = othersInTime && !ticket.returning && isLate(ticket, now);
+        const bool given = overtaken || isHopeless(ticket, now);
+        if (given)
             due.giveUp.push_back(ticket.id);
-        return hopeless;
+        return given;
     });
     while (!m_waiting.empty() && mayStart(now)) {
         const auto first =
--- a/modules/owner/tests/test_admission_queue.cpp
+++ b/modules/owner/tests/test_admission_queue.cpp
@@ -128,6 +128,25 @@
     CHECK(refused[2] >= 100);
 }
 
+TEST_CASE("surge: what has turned late in the queue is not held while others are in time")
+{
+    SimulatedBackend backend(1, 100);
+    while (backend.now < 10'000)
+        backend.step();
+    backend.offer(ticket(1, backend.now, 1'000, 5'000));
+    REQUIRE(backend.offer(ticket(2, backend.now, 350, 5'000, 2)) == AdmissionDecision::Kind::Wait);
+    std::uint64_t id = 10;
+    for (int i = 0; i < 600; ++i) {
+        if (i % 90 == 10)
+            backend.offer(ticket(id++, backend.now, 1'000, 5'000));
+        backend.step();
+    }
+    const bool served = backend.finishedAt.contains(2) && backend.finishedAt[2] <= 10'350;
+    const bool told =
+            std::find(backend.givenUp.begin(), backend.givenUp.end(), 2) != backend.givenUp.end();
+    CHECK((served || told));
+}
+
 TEST_CASE("a caller that returns after a refusal goes before a new one of its kind")
 {
     SimulatedBackend backend(1, 100);
--- a/modules/rollout/rollout_controller.cpp
+++ b/modules/rollout/rollout_controller.cpp
@@ -118,7 +118,8 @@
     for (const auto &[service, rollout] : std::map<std::string, RolloutPointer>(m_rollouts)) {
         if (rollout->outcome == RolloutOutcome::Open) {
             advance(*rollout);
-            announce(*rollout);
+            if (m_timers.now() - rollout->announcedAt >= m_options.announcePeriod)
+                announce(*rollout);
         }
         writeIfDue(rollout);
     }
@@ -136,6 +137,16 @@
                                         .backend = backend.id,
                                         .routes = m_owner.evidence()};
     known->second->judge.addReport(m_options.node, report);
+    std::uint64_t requests = 0;
+    for (const VersionEvidence &route : report.routes)
+        requests += route.counts.requests;
+    // The new version's counts decide; those of the old one are the baseline and may come later.
+    const bool urgent = backend.version == known->second->order.targetVersion;
+    const bool due = urgent || m_timers.now() >= m_nextEvidence;
+    if (requests == m_sharedRequests || !due)
+        return;
+    m_sharedRequests = requests;
+    m_nextEvidence = m_timers.now() + m_network.heartbeatPeriod() * 2;
     m_network.broadcast(report);
 }
 
@@ -194,8 +205,9 @@
     updateOwner();
 }
 
-void RolloutController::announce(const Rollout &rollout)
+void RolloutController::announce(Rollout &rollout)
 {
+    rollout.announcedAt = m_timers.now();
     m_network.broadcast(RolloutProgressMessage{.service = rollout.order.service,
                                                .targetVersion = rollout.order.targetVersion,
                                                .step = rollout.step,
--- a/modules/rollout/rollout_controller.h
+++ b/modules/rollout/rollout_controller.h
@@ -29,6 +29,8 @@
     double stepPart = 0.06; ///< How long each later step lasts, as a part of the order's time.
     double fullPart = 0.08; ///< How long it carries everything before the old version is stopped.
     std::chrono::milliseconds tickPeriod{200};
+    /** How often progress is repeated for nodes that missed it. */
+    std::chrono::milliseconds announcePeriod{1'000};
     std::chrono::milliseconds rankDelay{
             500}; ///< Each further node waits this much longer to write.
     std::chrono::milliseconds writePause{400}; ///< Between two tries to write.
@@ -68,6 +70,7 @@
         SteadyTime dueSince; ///< Since when something should be written.
         SteadyTime nextWrite;
         std::map<std::string, std::uint32_t> peerSteps;
+        SteadyTime announcedAt;
     };
     using RolloutPointer = std::shared_ptr<Rollout>;
 
@@ -78,6 +81,8 @@
     BackendOwner &m_owner;
     Random m_random;
     std::map<std::string, RolloutPointer> m_rollouts;
+    std::uint64_t m_sharedRequests = 0; ///< In the last evidence that was sent.
+    SteadyTime m_nextEvidence;
     Timer m_tick;
 
     void tick();
@@ -93,7 +98,7 @@
     void consultRegister(const RolloutPointer &rollout);
     void write(const RolloutPointer &rollout, std::uint64_t end);
     RolloutOutcome wanted(const Rollout &rollout) const;
-    void announce(const Rollout &rollout);
+    void announce(Rollout &rollout);
 
 public:
     RolloutController(const RolloutControllerOptions &options, FleetNetwork &network,
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <csignal>
 #include <ctime>
+#include <optional>
+#include <utility>
 
 #include <glib-unix.h>
 #include <sys/stat.h>
@@ -33,10 +35,16 @@
 constexpr int StatusUnavailable = 503;
 
 constexpr std::chrono::milliseconds LogFlushPeriod{100};
+// Installing configurations takes at most a twentieth of the time, and one is in force within 2 s.
+constexpr int ConfigCostFactor = 20;
+constexpr std::chrono::milliseconds ShortestConfigPause{100};
+constexpr std::chrono::milliseconds LongestConfigPause{800};
 constexpr std::chrono::milliseconds SettingsCheckPeriod{2'000};
 constexpr std::chrono::milliseconds ShutdownCheckPeriod{50};
 // The platform asks once a second and takes a node out after two misses; callers come until then.
 constexpr std::chrono::milliseconds CallersLeaveTime{2'700};
+// Work that is taken until then ends well before the process has to.
+constexpr std::chrono::milliseconds WorkLeaveTime{1'300};
 constexpr std::chrono::milliseconds GraceMargin{400};
 // Descriptors that are not for callers: links, backend server, log, listeners and files.
 constexpr std::uint32_t ReservedFiles = 1'200;
@@ -102,9 +110,12 @@
     BeastHttpServer metricsServer;
     RouteTable routes;
     TrafficConfig config;
+    std::optional<KeyedRecord> newestConfig; ///< Waits for its turn.
     bool hasConfig = false;
     bool stopping = false;
+    bool ownerLeaving = false; ///< The backend server gets no more work through this node.
     SteadyTime stoppingSince;
+    Timer configTimer; ///< Runs between two installations.
     Timer logTimer;
     Timer statusTimer;
     Timer settingsTimer;
@@ -117,6 +128,8 @@
 
     absl::Status start();
     void operatorRecord(const KeyedRecord &record);
+    void installNewestConfig();
+    void applyRecord(const KeyedRecord &record);
     void installConfig(TrafficConfig newConfig);
     void setDomain(const DomainOrder &order);
     void publishStatus(StatusUrgency urgency);
@@ -243,6 +256,32 @@
 }
 
 void MeshNode::Parts::operatorRecord(const KeyedRecord &record)
+{
+    if (record.key == wire::ConfigKey) {
+        // Each version is whole, so of several in quick succession only the newest matters.
+        newestConfig = record;
+        if (!configTimer.isActive())
+            installNewestConfig();
+        return;
+    }
+    applyRecord(record);
+}
+
+void MeshNode::Parts::installNewestConfig()
+{
+    configTimer.stop();
+    if (!newestConfig)
+        return;
+    const SteadyTime before = std::chrono::steady_clock::now();
+    applyRecord(*std::exchange(newestConfig, std::nullopt));
+    const auto cost = std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::steady_clock::now() - before);
+    const std::chrono::milliseconds pause =
+            std::clamp(cost * ConfigCostFactor, ShortestConfigPause, LongestConfigPause);
+    configTimer = Timer(timers, timers.startOnce(pause, [this] { installNewestConfig(); }));
+}
+
+void MeshNode::Parts::applyRecord(const KeyedRecord &record)
 {
     absl::StatusOr<OperatorRecord> decoded = decodeOperatorRecord(record);
     if (!decoded.ok()) {
@@ -296,7 +335,7 @@
 void MeshNode::Parts::publishStatus(StatusUrgency urgency)
 {
     const StatusMessage status{.tableEnd = table.end(),
-                               .leaving = stopping,
+                               .leaving = ownerLeaving,
                                .readsLog = follower.isActive() && follower.isReachable(),
                                .backend = owner.status()};
     network.setStatus(status, urgency);
@@ -434,9 +473,7 @@
     stoppingSince = timers.now();
     logEvent(Event::NodeStopping,
              {{"requests", forwarder.openRequests()}, {"work", owner.openWork()}});
-    owner.setLeaving();
     callerServer.closeAfterAnswers();
-    publishStatus(StatusUrgency::Everywhere);
     shutdownTimer = Timer(
             timers, timers.startPeriodic(ShutdownCheckPeriod, [this] { continueShutdown(); }));
 }
@@ -444,6 +481,10 @@
 void MeshNode::Parts::continueShutdown()
 {
     const SteadyTime::duration since = timers.now() - stoppingSince;
+    if (since >= WorkLeaveTime && !ownerLeaving) {
+        ownerLeaving = true;
+        owner.setLeaving();
+    }
     if (since >= CallersLeaveTime && !forwarder.isClosed()) {
         callerServer.stopListening();
         forwarder.close();
