--- a/modules/feed/table_sync.cpp
+++ b/modules/feed/table_sync.cpp
@@ -1,6 +1,11 @@
 #include "modules/feed/table_sync.h"
 
+#include <utility>
+#include <vector>
+
 #include "core/hash.h"
+#include "core/logger.h"
+#include "modules/fleet/message_codec.h"
 
 namespace jacinthshift {
 
@@ -12,6 +17,7 @@
     , m_table(table)
     , m_follower(follower)
     , m_startedAt(timers.now())
+    , m_random(options.seed)
 {
     network.addObserver(*this);
     m_check = Timer(timers, timers.startPeriodic(options.checkPeriod, [this] { check(); }));
@@ -21,13 +27,17 @@
 {
     if (m_timers.now() - m_startedAt < m_options.settleTime)
         return true;
+    // The VMs with the most capacity read, so a small one does not relay for the others.
     const NodeContact &self = m_network.self();
-    const std::uint64_t own = rendezvousWeight(self.domain, self.node);
+    const auto rank = [&self](std::uint32_t capacity, const std::string &node) {
+        return std::pair(capacity, rendezvousWeight(self.domain, node));
+    };
+    const auto own = rank(m_options.capacity, self.node);
     std::size_t better = 0;
     for (const auto &[node, peer] : m_network.peers()) {
         const bool reads = m_network.isReachable(peer) && peer.hasStatus && peer.status.readsLog
                            && !peer.status.leaving && peer.contact.domain == self.domain;
-        if (reads && rendezvousWeight(self.domain, node) > own)
+        if (reads && rank(peer.status.capacity, node) > own)
             ++better;
     }
     return better < m_options.readersPerDomain;
@@ -39,40 +49,57 @@
     fetchIfBehind();
 }
 
-void TableSync::fetchIfBehind()
+const FleetPeer *TableSync::fetchSource()
 {
-    const SteadyTime now = m_timers.now();
-    const FleetPeer *best = nullptr;
-    bool bestIsNear = false;
+    const std::string &domain = m_network.self().domain;
+    std::vector<const FleetPeer *> near;
+    std::vector<const FleetPeer *> far;
     for (const auto &[node, peer] : m_network.peers()) {
-        if (!m_network.isReachable(peer) || peer.status.tableEnd <= m_table.end())
-            continue;
-        const bool near = peer.contact.domain == m_network.self().domain;
-        const bool failed = m_fetching && node == m_fetchedFrom;
-        const bool better = best == nullptr || (near && !bestIsNear)
-                            || (near == bestIsNear && peer.status.tableEnd > best->status.tableEnd);
-        if (failed || !better)
-            continue;
-        best = &peer;
-        bestIsNear = near;
+        const bool ahead = m_network.isReachable(peer) && peer.status.tableEnd > m_table.end();
+        if (ahead)
+            (peer.contact.domain == domain ? near : far).push_back(&peer);
     }
-    if (best == nullptr) {
+    // Any near node that is ahead will do, so what one has learnt spreads without a hot spot.
+    const std::vector<const FleetPeer *> &sources = near.empty() ? far : near;
+    if (sources.empty()) {
         m_behindSince = SteadyTime();
-        m_fetching = m_fetching && now - m_fetchedAt < m_options.fetchTimeout;
-        return;
+        return nullptr;
     }
     if (m_behindSince == SteadyTime())
-        m_behindSince = now;
-    if (!bestIsNear && m_table.end() > 0 && now - m_behindSince < m_options.otherDomainDelay)
+        m_behindSince = m_timers.now();
+    const bool early = m_timers.now() - m_behindSince < m_options.otherDomainDelay;
+    if (near.empty() && m_table.end() > 0 && early)
+        return nullptr;
+    return sources[m_random.below(sources.size())];
+}
+
+void TableSync::fetchIfBehind()
+{
+    const SteadyTime::duration since = m_timers.now() - m_fetchedAt;
+    if (m_fetching && since >= m_options.fetchTimeout)
+        m_fetching = false;
+    if (m_fetching || since < m_options.fetchPause)
         return;
-    if (m_fetching && now - m_fetchedAt < m_options.fetchTimeout)
+    const FleetPeer *source = fetchSource();
+    if (source == nullptr)
         return;
     m_fetching = true;
-    m_fetchedAt = now;
-    m_fetchedFrom = best->contact.node;
+    m_fetchedAt = m_timers.now();
+    m_fetchedFrom = source->contact.node;
     m_network.send(m_fetchedFrom, TableFetchMessage{.from = m_table.end()});
 }
 
+const std::string &TableSync::packedSince(std::uint64_t offset)
+{
+    const bool known = m_packedFrom == offset && m_packedEnd == m_table.end() && !m_packed.empty();
+    if (!known) {
+        m_packed = packPage(m_table.since(offset));
+        m_packedFrom = offset;
+        m_packedEnd = m_table.end();
+    }
+    return m_packed;
+}
+
 void TableSync::fleetMessage(const std::string &node, const FleetMessage &message)
 {
     if (std::holds_alternative<StatusMessage>(message)) {
@@ -80,12 +107,17 @@
         return;
     }
     if (const TableFetchMessage *fetch = std::get_if<TableFetchMessage>(&message)) {
-        m_network.send(node, TableNewsMessage{.page = m_table.since(fetch->from)});
+        m_network.send(node, TableNewsMessage{.packedPage = packedSince(fetch->from)});
         return;
     }
     if (const TableNewsMessage *news = std::get_if<TableNewsMessage>(&message)) {
         m_fetching = false;
-        m_table.merge(news->page);
+        const absl::StatusOr<KeyedPage> page = unpackPage(news->packedPage);
+        if (page.ok())
+            m_table.merge(*page);
+        else
+            logEvent(Event::FrameRefused,
+                     {{"peer", node}, {"reason", std::string(page.status().message())}});
     }
 }
 
--- a/modules/feed/table_sync.h
+++ b/modules/feed/table_sync.h
@@ -3,6 +3,7 @@
 
 #include <string>
 
+#include "core/random.h"
 #include "modules/feed/operator_table.h"
 #include "modules/feed/table_follower.h"
 #include "modules/fleet/fleet_network.h"
@@ -18,6 +19,10 @@
     std::chrono::milliseconds fetchTimeout{300};
     /** Nodes of other failure domains are asked only after this time, as bytes there cost more. */
     std::chrono::milliseconds otherDomainDelay{150};
+    /** Between two fetches: of versions in quick succession only the newest matters. */
+    std::chrono::milliseconds fetchPause{350};
+    std::uint32_t capacity = 0; ///< What this VM can do for others, as it tells them.
+    std::uint64_t seed = 0;
     /** Before this time after the start a node reads the log itself, whoever else does. */
     std::chrono::milliseconds settleTime{3'000};
 };
@@ -38,12 +43,18 @@
     SteadyTime m_behindSince;
     SteadyTime m_fetchedAt;
     std::string m_fetchedFrom;
+    Random m_random;
+    std::uint64_t m_packedFrom = 0; ///< What m_packed was packed for.
+    std::uint64_t m_packedEnd = 0;
+    std::string m_packed;
     bool m_fetching = false;
     Timer m_check;
 
     void check();
     void fetchIfBehind();
     bool shouldRead() const;
+    const FleetPeer *fetchSource();
+    const std::string &packedSince(std::uint64_t offset);
 
 public:
     TableSync(const TableSyncOptions &options, FleetNetwork &network, TimerService &timers,
--- a/modules/fleet/message_codec.cpp
+++ b/modules/fleet/message_codec.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/compression.h"
 #include "core/text.h"
 
 namespace jacinthshift {
@@ -11,6 +12,7 @@
 using nlohmann::json;
 
 constexpr int MaxNesting = 8;
+constexpr std::size_t MaxPageBytes = 64 * 1024 * 1024;
 
 json bytes(const std::string &text)
 {
@@ -163,7 +165,8 @@
 
 json encode(const StatusMessage &message)
 {
-    return {message.tableEnd, message.leaving, message.readsLog, encodeBackend(message.backend)};
+    return {message.tableEnd, message.leaving, message.readsLog, encodeBackend(message.backend),
+            message.capacity};
 }
 
 void decode(const json &source, StatusMessage &message)
@@ -172,6 +175,7 @@
     source.at(1).get_to(message.leaving);
     source.at(2).get_to(message.readsLog);
     message.backend = decodeBackend(source.at(3));
+    source.at(4).get_to(message.capacity);
 }
 
 json encode(const WorkCallMessage &message)
@@ -282,12 +286,12 @@
 
 json encode(const TableNewsMessage &message)
 {
-    return encodePage(message.page);
+    return bytes(message.packedPage);
 }
 
 void decode(const json &source, TableNewsMessage &message)
 {
-    message.page = decodePage(source);
+    message.packedPage = text(source);
 }
 
 json encode(const VersionEvidenceMessage &message)
@@ -372,6 +376,25 @@
 
 } // namespace
 
+std::string packPage(const KeyedPage &page)
+{
+    std::string plain;
+    json::to_cbor(encodePage(page), plain);
+    return compressBytes(plain);
+}
+
+absl::StatusOr<KeyedPage> unpackPage(const std::string &packed)
+{
+    const absl::StatusOr<std::string> plain = decompressBytes(packed, MaxPageBytes);
+    if (!plain.ok())
+        return plain.status();
+    try {
+        return decodePage(json::from_cbor(*plain));
+    } catch (const json::exception &error) {
+        return absl::InvalidArgumentError(joinText("malformed page: ", error.what()));
+    }
+}
+
 std::string encodeFleetMessage(const FleetMessage &message)
 {
     const json fields =
--- a/modules/fleet/message_codec.h
+++ b/modules/fleet/message_codec.h
@@ -15,6 +15,12 @@
 /** Reads a message. Unknown numbers and wrong fields are InvalidArgument. */
 absl::StatusOr<FleetMessage> decodeFleetMessage(const std::string &frame);
 
+/** Packs records for TableNewsMessage. */
+std::string packPage(const KeyedPage &page);
+
+/** Undoes packPage(); anything else is InvalidArgument. */
+absl::StatusOr<KeyedPage> unpackPage(const std::string &packed);
+
 } // namespace jacinthshift
 
 #endif // MODULES_FLEET_MESSAGE_CODEC_H
--- a/modules/fleet/messages.h
+++ b/modules/fleet/messages.h
@@ -61,7 +61,8 @@
 {
     std::uint64_t tableEnd = 0; ///< How far the sender knows the operator's table.
     bool leaving = false;
-    bool readsLog = false; ///< Whether it reads the log for others of its failure domain.
+    bool readsLog = false;      ///< Whether it reads the log for others of its failure domain.
+    std::uint32_t capacity = 0; ///< What its VM can do for others; the larger one reads the log.
     BackendStatus backend;
 };
 
@@ -148,9 +149,10 @@
     std::uint64_t from = 0;
 };
 
+/** Records of the operator's table, packed by packPage(): one packing serves all who ask. */
 struct TableNewsMessage
 {
-    KeyedPage page;
+    std::string packedPage;
 };
 
 /** Counts of one version's requests on one route, since the owner's process began. */
--- a/modules/fleet/tests/test_fleet_codec.cpp
+++ b/modules/fleet/tests/test_fleet_codec.cpp
@@ -48,7 +48,7 @@
             WorkCancelMessage{.call = 9},
             WorkResumeMessage{.calls = {1, 2}},
             TableFetchMessage{.from = 12},
-            TableNewsMessage{.page = {.records = {{"k", "v", 3}}, .end = 4}},
+            TableNewsMessage{.packedPage = "p"},
             VersionEvidenceMessage{.service = "s", .routes = {{.route = "r"}}},
             CrashSuspectMessage{.fingerprint = ~0ULL, .backend = "b"},
             ProbeMessage{.reply = true},
@@ -62,6 +62,16 @@
     }
 }
 
+TEST_CASE("packed records come back whole, and damaged ones are refused")
+{
+    const KeyedPage page{.records = {{"k", std::string("v\0\xff", 3), 3}}, .end = 4};
+    const absl::StatusOr<KeyedPage> read = unpackPage(packPage(page));
+    REQUIRE(read.ok());
+    CHECK(read->end == 4);
+    CHECK(read->records.at(0).value == page.records[0].value);
+    CHECK_FALSE(unpackPage("nonsense").ok());
+}
+
 TEST_CASE("damaged frames are refused or read, and never end the process")
 {
     Random random(42);
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -62,6 +62,15 @@
     return stat(file.c_str(), &found) == 0 ? found.st_mtime : 0;
 }
 
+/** Returns what a VM can do for others: the smaller of its processor and its link, in steps. */
+std::uint32_t relayCapacity(const MeshSettings &settings)
+{
+    // 100 Mbit/s carry about what a tenth of a core can pack.
+    const double processor = settings.processorShare * 10.0;
+    const double link = settings.linkMegabits / 100.0;
+    return static_cast<std::uint32_t>(std::min(processor, link) * 10.0);
+}
+
 HttpServerOptions callerServerOptions(const MeshSettings &settings, const CallerLimits &limits)
 {
     const std::uint32_t callers =
@@ -199,7 +208,8 @@
     , follower(TableFollowerOptions{.table = wire::OperatorTable,
                                     .longPoll = std::chrono::milliseconds(5'000)},
                store, timers, table)
-    , tableSync(TableSyncOptions{}, network, timers, table, follower)
+    , tableSync(TableSyncOptions{.capacity = relayCapacity(settings), .seed = seed}, network,
+                timers, table, follower)
     , contacts(ContactBookOptions{}, store, network, timers)
     , callerServer(callerServerOptions(settings, CallerLimits()))
     , readinessServer(HttpServerOptions{})
@@ -337,6 +347,7 @@
     const StatusMessage status{.tableEnd = table.end(),
                                .leaving = ownerLeaving,
                                .readsLog = follower.isActive() && follower.isReachable(),
+                               .capacity = relayCapacity(settings),
                                .backend = owner.status()};
     network.setStatus(status, urgency);
 }
--- a/node/mesh_settings.cpp
+++ b/node/mesh_settings.cpp
@@ -40,6 +40,8 @@
     settings.retryWindow = limits.seconds("retry_window_seconds", settings.retryWindow);
     settings.canaryShare = limits.real("canary_share", settings.canaryShare);
     settings.maxFiles = limits.number("max_files", settings.maxFiles);
+    settings.processorShare = limits.real("processor_share", settings.processorShare);
+    settings.linkMegabits = limits.real("link_megabits", settings.linkMegabits);
     limits.finish();
     settings.logLevel =
             static_cast<EventLevel>(root.choice("log_level", {"debug", "info", "warning", "error"},
--- a/node/mesh_settings.h
+++ b/node/mesh_settings.h
@@ -30,6 +30,8 @@
     std::chrono::milliseconds retryWindow{10'000};
     double canaryShare = 0.1; ///< The largest share of a version that may be faulty.
     std::uint32_t maxFiles = 1'024;
+    double processorShare = 1.0;   ///< Of a core, for this process.
+    double linkMegabits = 1'000.0; ///< The VM's link, a second.
     EventLevel logLevel = EventLevel::Info;
 };
 
