--- a/modules/fleet/tests/test_fleet_codec.cpp
+++ b/modules/fleet/tests/test_fleet_codec.cpp
@@ -12,7 +12,7 @@
     return WorkCallMessage{.call = 7,
                            .work = {.request = {.method = "POST",
                                                 .target = "/a/b?c=\xff",
-                                                .headers = {{"Request-Id", "1: 2"}, {"X", ""}},
+                                                .headers = {{"Id", "1: 2"}, {"X", ""}},
                                                 .body = std::string("\0\xfe", 2)},
                                     .route = "r",
                                     .service = "s",
--- /dev/null
+++ b/modules/forwarding/tests/test_forwarder.cpp
@@ -0,0 +1,246 @@
+#include <catch2/catch.hpp>
+
+#include <optional>
+
+#include "modules/forwarding/forwarder.h"
+#include "tests/support/fake_link_hub.h"
+
+namespace jacinthshift {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+const HeaderNames headerNames{.requestId = "Id", .deadline = "Left", .retryAfter = "Retry-After"};
+
+/** An owner whose answers the test scripts. */
+class ScriptedOwner final : public WorkHandler
+{
+public:
+    std::vector<WorkResult> answers; ///< One per request; without one the request stays open.
+    std::vector<WorkRequest> works;
+    std::vector<Callback> open;
+    int cancelled = 0;
+    BackendStatus state{.availability = BackendAvailability::Ready,
+                        .id = "i-local",
+                        .service = "s",
+                        .version = "v1",
+                        .limit = 10};
+
+    std::uint64_t run(const WorkRequest &work, Callback callback) override
+    {
+        works.push_back(work);
+        if (works.size() <= answers.size())
+            callback(answers[works.size() - 1]);
+        else
+            open.push_back(std::move(callback));
+        return works.size();
+    }
+    void cancel(std::uint64_t) override { ++cancelled; }
+    BackendStatus status() const override { return state; }
+};
+
+struct AnyVersion final : public VersionPolicy
+{
+    VersionChoice choice;
+
+    VersionChoice nextRequest(const std::string &) override { return choice; }
+};
+
+struct CapturedAnswer final : public HttpResponder
+{
+    std::optional<HttpResponse> response;
+    std::function<void()> gone;
+    int answers = 0;
+
+    void respond(const HttpResponse &answer) override
+    {
+        ++answers;
+        response = answer;
+    }
+    void onCallerGone(std::function<void()> callback) override { gone = std::move(callback); }
+};
+
+/** A forwarder with its own owner and one owner on another node. */
+struct ForwarderBench
+{
+    ManualTimerService timers;
+    FakeLinkHub hub{timers};
+    FakeLinkTransport nearTransport{hub, {"127.0.0.1", 1}};
+    FakeLinkTransport farTransport{hub, {"127.0.0.1", 2}};
+    FleetNetwork network{{.self = {.node = "near", .domain = "d", .links = {"127.0.0.1", 1}}},
+                         nearTransport,
+                         timers};
+    FleetNetwork farNetwork{{.self = {.node = "other", .domain = "d", .links = {"127.0.0.1", 2}}},
+                            farTransport,
+                            timers};
+    ScriptedOwner local;
+    ScriptedOwner remoteOwner;
+    CallServer server{CallServerOptions{}, farNetwork, timers, remoteOwner};
+    RemoteCaller remote{RemoteCallerOptions{}, network, timers};
+    AnyVersion versions;
+    TrafficMetrics metrics;
+    Forwarder forwarder{{.node = "near", .domain = "d", .headers = headerNames},
+                        timers,
+                        network,
+                        remote,
+                        local,
+                        versions,
+                        metrics};
+    RouteTable routes{TrafficConfig{.routes = {route("read", "/read/", true),
+                                               route("write", "/write/", false)}},
+                      1};
+
+    static TrafficRoute route(const std::string &name, const std::string &prefix, bool idempotent)
+    {
+        return TrafficRoute{.name = name,
+                            .host = "h",
+                            .prefix = prefix,
+                            .idempotent = idempotent,
+                            .timeout = milliseconds(800),
+                            .targetLatency = milliseconds(400),
+                            .maxAttempts = 2,
+                            .parts = {{.service = "s", .weight = 1}}};
+    }
+
+    ForwarderBench()
+    {
+        REQUIRE(network.start().ok());
+        REQUIRE(farNetwork.start().ok());
+        remoteOwner.state.id = "i-remote";
+        farNetwork.setStatus({.backend = remoteOwner.state}, StatusUrgency::Nobody);
+        network.addContacts({farNetwork.self()});
+        farNetwork.addContacts({network.self()});
+        timers.advance(milliseconds(500));
+        forwarder.setRoutes(&routes);
+    }
+
+    std::shared_ptr<CapturedAnswer> send(const std::string &target)
+    {
+        const std::shared_ptr<CapturedAnswer> answer = std::make_shared<CapturedAnswer>();
+        forwarder.handle({.target = target, .headers = {{"Host", "h"}, {"Id", "r1"}}}, answer);
+        return answer;
+    }
+    std::size_t tries() const { return local.works.size() + remoteOwner.works.size(); }
+    void scriptBoth(const WorkResult &result)
+    {
+        local.answers = {result};
+        remoteOwner.answers = {result};
+    }
+};
+
+WorkResult done(int status)
+{
+    return {.verdict = Verdict::Done, .reachedBackend = true, .response = {.status = status}};
+}
+
+const WorkResult mayHaveRun{
+        .verdict = Verdict::MayHaveRun, .refusal = WorkRefusal::Lost, .reachedBackend = true};
+const WorkResult full{
+        .verdict = Verdict::NotRun, .refusal = WorkRefusal::Full, .retryAfter = milliseconds(120)};
+
+} // namespace
+
+TEST_CASE("a request that must not run twice is not sent again after it may have run")
+{
+    ForwarderBench bench;
+    bench.scriptBoth(mayHaveRun);
+    const auto answer = bench.send("/write/1");
+    bench.timers.advance(milliseconds(20));
+    CHECK(bench.tries() == 1);
+    REQUIRE(answer->response.has_value());
+    CHECK(answer->response->status == 502);
+}
+
+TEST_CASE("an idempotent request is sent again, to another owner and not more often than allowed")
+{
+    ForwarderBench bench;
+    bench.scriptBoth(mayHaveRun);
+    const auto answer = bench.send("/read/1");
+    bench.timers.advance(milliseconds(20));
+    CHECK(bench.local.works.size() == 1);
+    CHECK(bench.remoteOwner.works.size() == 1);
+    CHECK(answer->response->status == 502);
+}
+
+TEST_CASE("refusals by owners go on to the next one, and the caller hears when to return")
+{
+    ForwarderBench bench;
+    bench.scriptBoth(full);
+    const auto answer = bench.send("/write/1");
+    bench.timers.advance(milliseconds(20));
+    CHECK(bench.tries() == 2);
+    CHECK(answer->response->status == 503);
+    CHECK(findHeader(answer->response->headers, "Retry-After") == "0.120");
+}
+
+TEST_CASE("a backend server's own error is passed on unchanged when there is no better answer")
+{
+    ForwarderBench bench;
+    bench.scriptBoth(done(500));
+    const auto answer = bench.send("/read/1");
+    bench.timers.advance(milliseconds(20));
+    CHECK(bench.tries() == 2);
+    CHECK(answer->response->status == 500);
+    CHECK(answer->answers == 1);
+}
+
+TEST_CASE("what is not answered by the route's timeout ends then, and the work is stopped")
+{
+    ForwarderBench bench;
+    const auto answer = bench.send("/read/1");
+    bench.timers.advance(milliseconds(790));
+    CHECK_FALSE(answer->response.has_value());
+    bench.timers.advance(milliseconds(30));
+    REQUIRE(answer->response.has_value());
+    CHECK(answer->response->status == 504);
+    CHECK(bench.local.cancelled + bench.remoteOwner.cancelled == 1);
+}
+
+TEST_CASE("callers that leave early: the work is stopped at once")
+{
+    ForwarderBench bench;
+    const auto answer = bench.send("/read/1");
+    bench.timers.advance(milliseconds(50));
+    answer->gone();
+    bench.timers.advance(milliseconds(10));
+    CHECK(bench.local.cancelled + bench.remoteOwner.cancelled == 1);
+    CHECK(bench.forwarder.openRequests() == 0);
+    CHECK(answer->answers == 0);
+}
+
+TEST_CASE("without a configuration nothing is denied for good, with one an unknown path is")
+{
+    ForwarderBench bench;
+    CHECK(bench.send("/unknown/1")->response->status == 404);
+    bench.forwarder.setRoutes(nullptr);
+    CHECK(bench.send("/read/1")->response->status == 503);
+}
+
+TEST_CASE("a new version that has just failed is not asked again while another one can answer")
+{
+    ForwarderBench bench;
+    bench.local.state.version = "v2";
+    bench.local.answers = {done(500)};
+    bench.remoteOwner.answers = {done(200)};
+    bench.versions.choice = {.only = "v2", .excluded = "", .mayFallBack = true};
+    const auto answer = bench.send("/read/1");
+    bench.timers.advance(milliseconds(20));
+    CHECK(answer->response->status == 200);
+    CHECK(bench.remoteOwner.works.size() == 1);
+}
+
+TEST_CASE("persistent retriers: repeats of what may have run stay within the budget")
+{
+    ForwarderBench bench;
+    bench.local.answers.assign(1'000, mayHaveRun);
+    bench.remoteOwner.answers.assign(1'000, mayHaveRun);
+    for (int i = 0; i < 300; ++i) {
+        bench.send("/read/1");
+        bench.timers.advance(milliseconds(10));
+    }
+    CHECK(bench.tries() > 310);
+    CHECK(bench.tries() <= 300 + 30 + 11);
+}
+
+} // namespace jacinthshift
--- a/scripts/check_layers.py
+++ b/scripts/check_layers.py
@@ -9,6 +9,11 @@
 LAYERS = ["core", "servers", "drivers", "modules", "platform", "node", "cli", "main", "tests"]
 # Modules and drivers stand side by side on the abstract servers.
 FORBIDDEN = {("modules", "drivers"), ("drivers", "modules")}
+# Names of the users' platform. Only platform/ decodes them; scripts and the deploy folder are no sources.
+PLATFORM_NAMES = re.compile(
+    r"(?<![\w-])Deadline-Ms|Target-Instance|Caller-Service|Not-Executed|Server-Seal|Server-Load|"
+    r"Instance-Id|Cold-Ms|keyed\.|/-/|pathPrefix|trafficSplit|routeType|coldRemainingS|"
+    r"targetVersion\"|heartbeatAddr|in_progress|rolled_back|non_idempotent|sidecar")
 INCLUDE = re.compile(r'^#include "([a-z_]+)/', re.MULTILINE)
 
 
@@ -22,6 +27,9 @@
             found.append(f"{path}: includes from unknown folder {target}")
         elif LAYERS.index(target) > LAYERS.index(layer) or (layer, target) in FORBIDDEN:
             found.append(f"{path}: layer {layer} includes from {target}")
+    if "platform" not in path.parts:
+        found += [f"{path}: names the users' platform: {name}"
+                  for name in sorted(set(PLATFORM_NAMES.findall(text)))]
     guard = re.sub(r"[/.]", "_", str(path)).upper()
     if path.suffix == ".h" and f"#ifndef {guard}\n#define {guard}\n" not in text:
         found.append(f"{path}: the include guard must be {guard}")
