--- a/cli/local_commands.cpp
+++ b/cli/local_commands.cpp
@@ -1,5 +1,6 @@
 #include "cli/local_commands.h"
 
+#include <functional>
 #include <iostream>
 
 #include "cli/flags.h"
@@ -36,20 +37,14 @@
     std::cout << "\n";
 }
 
-} // namespace
-
-ExitCode runNode(const std::vector<std::string> &)
+/** Starts a node's log, reports problems of its settings and runs it unless only a check is asked.
+ */
+template <typename NodeType>
+ExitCode runWithLog(const LoggerOptions &log, const Problems &problems,
+                    const std::function<NodeType()> &makeNode)
 {
-    if (FLAGS_settings.empty()) {
-        std::cerr << "node needs --settings=FILE\n";
-        return ExitCode::Usage;
-    }
-    Problems problems;
-    const NodeSettings settings = readNodeSettings(FLAGS_settings, problems);
-    startLogging(LoggerOptions{.level = settings.logLevel,
-                               .format = settings.logFormat,
-                               .node = settings.node,
-                               .failureDomain = settings.domain});
+    startLogging(log);
+    const ScopeGuard flush([] { flushLog(); });
     if (!problems.empty()) {
         for (const Problem &problem : problems)
             logEvent(Event::SettingsRefused, {{"problem", problem.text()}});
@@ -59,7 +54,7 @@
         std::cout << FLAGS_settings << " is good\n";
         return ExitCode::Ok;
     }
-    Node node(settings);
+    NodeType node = makeNode();
     const absl::Status status = node.start();
     if (!status.ok()) {
         logEvent(Event::SettingsRefused, {{"problem", std::string(status.message())}});
@@ -70,38 +65,42 @@
     return ExitCode::Ok;
 }
 
+bool hasSettings(const char *command)
+{
+    if (!FLAGS_settings.empty())
+        return true;
+    std::cerr << command << " needs --settings=FILE\n";
+    return false;
+}
+
+} // namespace
+
+ExitCode runNode(const std::vector<std::string> &)
+{
+    if (!hasSettings("node"))
+        return ExitCode::Usage;
+    Problems problems;
+    const NodeSettings settings = readNodeSettings(FLAGS_settings, problems);
+    return runWithLog<Node>({.level = settings.logLevel,
+                             .format = settings.logFormat,
+                             .node = settings.node,
+                             .failureDomain = settings.domain},
+                            problems, [&settings] { return Node(settings); });
+}
+
 ExitCode runMeshNode(const std::vector<std::string> &)
 {
-    if (FLAGS_settings.empty()) {
-        std::cerr << "mesh-node needs --settings=FILE\n";
+    if (!hasSettings("mesh-node"))
         return ExitCode::Usage;
-    }
     Problems problems;
     const MeshSettings settings = readMeshSettings(FLAGS_settings, problems);
-    startLogging(LoggerOptions{.level = settings.logLevel,
-                               .format = LogFormat::JsonLines,
-                               .target = LogTarget::StandardOutput,
-                               .node = settings.node,
-                               .failureDomain = settings.domain});
-    const ScopeGuard flush([] { flushLog(); });
-    if (!problems.empty()) {
-        for (const Problem &problem : problems)
-            logEvent(Event::SettingsRefused, {{"problem", problem.text()}});
-        return reportProblems(problems);
-    }
-    if (FLAGS_check_only) {
-        std::cout << FLAGS_settings << " is good\n";
-        return ExitCode::Ok;
-    }
-    MeshNode node(settings, FLAGS_settings);
-    const absl::Status status = node.start();
-    if (!status.ok()) {
-        logEvent(Event::SettingsRefused, {{"problem", std::string(status.message())}});
-        std::cerr << status.message() << "\n";
-        return ExitCode::Unreachable;
-    }
-    node.run();
-    return ExitCode::Ok;
+    return runWithLog<MeshNode>({.level = settings.logLevel,
+                                 .format = LogFormat::JsonLines,
+                                 .target = LogTarget::StandardOutput,
+                                 .node = settings.node,
+                                 .failureDomain = settings.domain},
+                                problems,
+                                [&settings] { return MeshNode(settings, FLAGS_settings); });
 }
 
 ExitCode runQuestionnaire(const std::vector<std::string> &)
--- /dev/null
+++ b/node/mesh_metrics.cpp
@@ -0,0 +1,64 @@
+#include "node/mesh_metrics.h"
+
+#include <algorithm>
+#include <ctime>
+
+#include "core/logger.h"
+#include "core/text.h"
+
+namespace jacinthshift {
+
+namespace {
+
+void appendLinks(std::string &text, const FleetNetwork &network)
+{
+    for (std::size_t kind = 0; kind < std::variant_size_v<FleetMessage>; ++kind) {
+        for (const bool far : {false, true}) {
+            const FrameCount &sent = network.sent(kind, far);
+            const std::string label =
+                    joinText("{kind=\"", kind, "\",far=\"", far ? "yes" : "no", "\"} ");
+            text += joinText("jacinthshift_link_frames_total", label, sent.frames,
+                             "\njacinthshift_link_bytes_total", label, sent.bytes, "\n");
+        }
+    }
+}
+
+} // namespace
+
+std::string meshMetricsText(const MeshMetricsSources &sources)
+{
+    std::string text = sources.traffic.text();
+    const auto line = [&text](const char *name, auto value) {
+        text += joinText("jacinthshift_", name, " ", value, "\n");
+    };
+    const FleetNetwork &network = sources.network;
+    const auto reachable = std::count_if(
+            network.peers().begin(), network.peers().end(),
+            [&network](const auto &entry) { return network.isReachable(entry.second); });
+    line("config_version", sources.configVersion);
+    line("operator_table_end", sources.table.end());
+    line("log_reachable", sources.follower.isReachable() ? 1 : 0);
+    line("peers_known", network.peers().size());
+    line("peers_reachable", reachable);
+    line("caller_connections", sources.callerConnections);
+    line("requests_open", sources.openRequests);
+    const BackendStatus &backend = sources.backend;
+    line("backend_available", backend.availability == BackendAvailability::Ready ? 1 : 0);
+    line("backend_limit", backend.limit);
+    line("backend_running", backend.running);
+    line("backend_waiting", backend.queued);
+    line("backend_service_ms", backend.serviceTime.count());
+    line("backend_failures_per_thousand", backend.failuresPerThousand);
+    appendLinks(text, network);
+    const LogLosses losses = logLosses();
+    line("log_lines_limited_total", losses.limited);
+    line("log_lines_dropped_total", losses.dropped);
+    for (const auto &[outcome, count] : sources.storeCalls)
+        text += joinText("jacinthshift_store_calls_total{outcome=\"", outcome, "\"} ", count, "\n");
+    const double processorSeconds = static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+    text += joinText("jacinthshift_process_cpu_seconds_total ", std::to_string(processorSeconds),
+                     "\n");
+    return text;
+}
+
+} // namespace jacinthshift
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -21,6 +21,7 @@
 #include "modules/owner/backend_owner.h"
 #include "modules/rollout/rollout_controller.h"
 #include "node/contact_book.h"
+#include "node/mesh_metrics.h"
 #include "platform/record_codec.h"
 #include "platform/rollout_status.h"
 #include "platform/store_client.h"
@@ -405,44 +406,15 @@
 
 std::string MeshNode::Parts::metricsText() const
 {
-    std::string text = metrics.text();
-    const auto line = [&text](const char *name, auto value) {
-        text += joinText("jacinthshift_", name, " ", value, "\n");
-    };
-    const BackendStatus backend = owner.status();
-    const auto reachable =
-            std::count_if(network.peers().begin(), network.peers().end(),
-                          [this](const auto &entry) { return network.isReachable(entry.second); });
-    line("config_version", config.version);
-    line("operator_table_end", table.end());
-    line("log_reachable", follower.isReachable() ? 1 : 0);
-    line("peers_known", network.peers().size());
-    line("peers_reachable", reachable);
-    line("caller_connections", callerServer.connectionCount());
-    line("requests_open", forwarder.openRequests());
-    line("backend_available", backend.availability == BackendAvailability::Ready ? 1 : 0);
-    line("backend_limit", backend.limit);
-    line("backend_running", backend.running);
-    line("backend_waiting", backend.queued);
-    line("backend_service_ms", backend.serviceTime.count());
-    line("backend_failures_per_thousand", backend.failuresPerThousand);
-    for (std::size_t kind = 0; kind < std::variant_size_v<FleetMessage>; ++kind) {
-        for (const bool far : {false, true}) {
-            const FrameCount &sent = network.sent(kind, far);
-            const std::string label =
-                    joinText("{kind=\"", kind, "\",far=\"", far ? "yes" : "no", "\"} ");
-            text += joinText("jacinthshift_link_frames_total", label, sent.frames,
-                             "\njacinthshift_link_bytes_total", label, sent.bytes, "\n");
-        }
-    }
-    const LogLosses losses = logLosses();
-    line("log_lines_limited_total", losses.limited);
-    line("log_lines_dropped_total", losses.dropped);
-    for (const auto &[outcome, count] : store.calls())
-        text += joinText("jacinthshift_store_calls_total{outcome=\"", outcome, "\"} ", count, "\n");
-    text += joinText("jacinthshift_process_cpu_seconds_total ",
-                     std::to_string(static_cast<double>(std::clock()) / CLOCKS_PER_SEC), "\n");
-    return text;
+    return meshMetricsText({.traffic = metrics,
+                            .network = network,
+                            .table = table,
+                            .follower = follower,
+                            .backend = owner.status(),
+                            .configVersion = config.version,
+                            .callerConnections = callerServer.connectionCount(),
+                            .openRequests = forwarder.openRequests(),
+                            .storeCalls = store.calls()});
 }
 
 void MeshNode::Parts::checkSettingsFile()
