Rollouts: a node that starts while the log is away learns how they stand from the others

Outcomes were told only while a rollout was open. Now a node tells them over each new link, and what is heard before the order is kept.

--- a/modules/rollout/rollout_controller.cpp
+++ b/modules/rollout/rollout_controller.cpp
@@ -49,10 +49,20 @@
                                      {"target", order.targetVersion},
                                      {"within_ms", order.duration.count()},
                                      {"offset", offset}});
+    const auto early = m_early.find(order.service);
+    if (early != m_early.end() && early->second.targetVersion == order.targetVersion)
+        follow(*rollout, early->second, "an earlier message");
     updateOwner();
     consultRegister(rollout);
 }
 
+/** A node that starts while the log is away learns from the others how rollouts stand. */
+void RolloutController::fleetLinksChanged(const std::string &node)
+{
+    for (const auto &[service, rollout] : m_rollouts)
+        m_network.send(node, progressOf(*rollout));
+}
+
 void RolloutController::removeOrder(const std::string &service)
 {
     const auto known = m_rollouts.find(service);
@@ -98,16 +108,22 @@
     if (progress == nullptr)
         return;
     const auto known = m_rollouts.find(progress->service);
-    if (known == m_rollouts.end() || known->second->order.targetVersion != progress->targetVersion)
-        return;
-    Rollout &rollout = *known->second;
-    rollout.peerSteps[node] = progress->step;
+    if (known != m_rollouts.end() && known->second->order.targetVersion == progress->targetVersion)
+        follow(*known->second, *progress, node);
+    else if (known == m_rollouts.end())
+        m_early[progress->service] = *progress;
+}
+
+void RolloutController::follow(Rollout &rollout, const RolloutProgressMessage &progress,
+                               const std::string &node)
+{
+    rollout.peerSteps[node] = progress.step;
     if (rollout.outcome != RolloutOutcome::Open)
         return;
-    if (progress->outcome != RolloutOutcome::Open)
-        end(rollout, progress->outcome, "told by " + node);
-    else if (progress->step > rollout.step)
-        setStep(rollout, progress->step);
+    if (progress.outcome != RolloutOutcome::Open)
+        end(rollout, progress.outcome, "told by " + node);
+    else if (progress.step > rollout.step)
+        setStep(rollout, progress.step);
 }
 
 void RolloutController::tick()
@@ -208,10 +224,15 @@
 void RolloutController::announce(Rollout &rollout)
 {
     rollout.announcedAt = m_timers.now();
-    m_network.broadcast(RolloutProgressMessage{.service = rollout.order.service,
-                                               .targetVersion = rollout.order.targetVersion,
-                                               .step = rollout.step,
-                                               .outcome = rollout.outcome});
+    m_network.broadcast(progressOf(rollout));
+}
+
+RolloutProgressMessage RolloutController::progressOf(const Rollout &rollout) const
+{
+    return RolloutProgressMessage{.service = rollout.order.service,
+                                  .targetVersion = rollout.order.targetVersion,
+                                  .step = rollout.step,
+                                  .outcome = rollout.outcome};
 }
 
 void RolloutController::updateOwner()
--- a/modules/rollout/rollout_controller.h
+++ b/modules/rollout/rollout_controller.h
@@ -81,6 +81,8 @@
     BackendOwner &m_owner;
     Random m_random;
     std::map<std::string, RolloutPointer> m_rollouts;
+    /** Progress that was heard before the order it belongs to, by service. */
+    std::map<std::string, RolloutProgressMessage> m_early;
     std::uint64_t m_sharedRequests = 0; ///< In the last evidence that was sent.
     SteadyTime m_nextEvidence;
     Timer m_tick;
@@ -99,6 +101,8 @@
     void write(const RolloutPointer &rollout, std::uint64_t end);
     RolloutOutcome wanted(const Rollout &rollout) const;
     void announce(Rollout &rollout);
+    void follow(Rollout &rollout, const RolloutProgressMessage &progress, const std::string &node);
+    RolloutProgressMessage progressOf(const Rollout &rollout) const;
 
 public:
     RolloutController(const RolloutControllerOptions &options, FleetNetwork &network,
@@ -111,7 +115,7 @@
 
     VersionChoice nextRequest(const std::string &service) override;
     void fleetMessage(const std::string &node, const FleetMessage &message) override;
-    void fleetLinksChanged(const std::string &) override {}
+    void fleetLinksChanged(const std::string &node) override;
 };
 
 } // namespace jacinthshift
