--- a/modules/feed/table_follower.cpp
+++ b/modules/feed/table_follower.cpp
@@ -55,7 +55,6 @@
 void TableFollower::answered(std::uint64_t round, const absl::StatusOr<KeyedPage> &page, bool whole)
 {
     if (page.ok()) {
-        m_everRead = m_everRead || whole;
         if (whole)
             m_table.replace(*page);
         else
--- a/modules/feed/table_follower.h
+++ b/modules/feed/table_follower.h
@@ -36,7 +36,6 @@
     bool m_active = false;
     bool m_needsWhole = true;
     bool m_reachable = false;
-    bool m_everRead = false;
 
     void read();
     void readWhole();
@@ -54,8 +53,6 @@
     bool isActive() const { return m_active; }
     /** Returns whether the last read was answered. */
     bool isReachable() const { return m_reachable; }
-    /** Returns whether the whole table was read once. */
-    bool hasRead() const { return m_everRead; }
 };
 
 } // namespace jacinthshift
--- a/modules/fleet/remote_caller.cpp
+++ b/modules/fleet/remote_caller.cpp
@@ -29,7 +29,6 @@
     m_calls.emplace(id, Call{.node = node,
                              .incarnation = peer == nullptr ? 0 : peer->contact.incarnation,
                              .callback = std::move(callback),
-                             .deadline = m_timers.now() + work.timeLeft,
                              .idempotent = work.idempotent});
     ++m_perNode[node];
     if (!m_network.send(node, WorkCallMessage{.call = id, .work = work})) {
--- a/modules/fleet/remote_caller.h
+++ b/modules/fleet/remote_caller.h
@@ -34,7 +34,6 @@
         std::string node;
         std::uint64_t incarnation = 0; ///< Of the owner's process that took it.
         Callback callback;
-        SteadyTime deadline;
         SteadyTime linklessSince; ///< Zero while there is a link.
         bool idempotent = false;
     };
--- a/modules/forwarding/owner_selector.h
+++ b/modules/forwarding/owner_selector.h
@@ -39,7 +39,6 @@
     bool sameDomain = false;
     BackendStatus backend;
     std::uint32_t outstanding = 0; ///< This node's own calls that wait there.
-    std::uint32_t senders = 1;     ///< Nodes that may send to it.
 };
 
 /** What a choice depends on beside the candidates. */
