Gossip: a node without a link tries all its seeds in turn, five a second

After that one seed, chosen by chance, was tried every 2 s; with one seed of four that never starts, a node can stay alone for longer than the 7 s that the scenario waits.

Ruled out: two meshes on the same addresses (the other scenario's stand-ins would not have started); frames lost between loops (all logs read show greetings right after the connection).

--- a/modules/gossip/member_gossip.cpp
+++ b/modules/gossip/member_gossip.cpp
@@ -39,6 +39,7 @@
                     timers.startPeriodic(options.digestPeriod, [this] { compareWithSomebody(); }))
     , m_contactTimer(timers,
                      timers.startPeriodic(options.contactPeriod, [this] { contactTheLost(); }))
+    , m_seedTimer(timers, timers.startPeriodic(options.seedPeriod, [this] { contactNextSeed(); }))
 {
     network.addObserver(*this);
     for (const Endpoint &seed : options.seeds)
@@ -109,8 +110,13 @@
     const std::vector<std::string> lost = m_members.down();
     if (!lost.empty())
         m_network.connectPeer(lost[m_random.below(lost.size())]);
-    if (m_network.connectedPeers().empty() && !m_options.seeds.empty())
-        m_network.connectEndpoint(m_options.seeds[m_random.below(m_options.seeds.size())]);
+}
+
+void MemberGossip::contactNextSeed()
+{
+    if (m_options.seeds.empty() || !m_network.connectedPeers().empty())
+        return;
+    m_network.connectEndpoint(m_options.seeds[m_nextSeed++ % m_options.seeds.size()]);
 }
 
 void MemberGossip::answerDigest(const std::string &peer, LinkId link, const DigestMessage &digest)
--- a/modules/gossip/member_gossip.h
+++ b/modules/gossip/member_gossip.h
@@ -25,6 +25,8 @@
     std::chrono::milliseconds overlayPeriod{500};
     std::chrono::milliseconds digestPeriod{5'000};
     std::chrono::milliseconds contactPeriod{2'000};
+    /** A node without any link tries one seed after the other this often. */
+    std::chrono::milliseconds seedPeriod{200};
     int failuresBeforeSuspicion = 2;
 };
 
@@ -48,12 +50,15 @@
     Timer m_overlayTimer;
     Timer m_digestTimer;
     Timer m_contactTimer;
+    Timer m_seedTimer;
+    std::size_t m_nextSeed = 0;
 
     void flush();
     void maintainOverlay();
     void chooseOverlay();
     void compareWithSomebody();
     void contactTheLost();
+    void contactNextSeed();
     void answerDigest(const std::string &peer, LinkId link, const DigestMessage &digest);
 
 public:
