Fleet: contacts travel within a failure domain only; greetings no longer grow with the mesh

Cause: each greeting carried the contacts of all linked nodes, uncompressed, on every new link. With 58 to 74 nodes a restart of one node sent about 0.4 MB over 46 far links, a restart of all about 18 MB.

Now a greeting holds the sender's contact alone. Nodes of one failure domain tell each other whom they know; a node without a near link asks a far one every 2 s. The new test failed first: 935 against 112 bytes for the same link in a mesh of 40 and of 2.

--- a/modules/fleet/fleet_network.cpp
+++ b/modules/fleet/fleet_network.cpp
@@ -44,9 +44,9 @@
     return heartbeatPeriod() * m_options.heartbeatsMissed;
 }
 
-GreetingMessage FleetNetwork::greeting() const
+bool FleetNetwork::isNear(const FleetPeer &peer) const
 {
-    return GreetingMessage{.self = m_options.self, .contacts = contacts()};
+    return peer.contact.domain == m_options.self.domain;
 }
 
 std::vector<NodeContact> FleetNetwork::contacts() const
@@ -110,6 +110,24 @@
     }
     if (m_timers.now() >= m_nextHeartbeat)
         sendHeartbeats();
+    if (m_timers.now() >= m_nextContactsFetch)
+        fetchContacts();
+}
+
+/** Asks a node in another failure domain for contacts if none in the own one could be asked. */
+void FleetNetwork::fetchContacts()
+{
+    m_nextContactsFetch = m_timers.now() + m_options.contactsFetchPeriod;
+    std::vector<std::string> far;
+    for (const auto &[node, peer] : m_peers) {
+        if (!isReachable(peer))
+            continue;
+        if (isNear(peer))
+            return;
+        far.push_back(node);
+    }
+    if (!far.empty())
+        send(far[m_random.below(far.size())], ContactsFetchMessage());
 }
 
 void FleetNetwork::maintain(FleetPeer &peer)
@@ -158,7 +176,7 @@
         sendStatus();
     } else if (urgency == StatusUrgency::OwnDomain) {
         for (const auto &[node, peer] : m_peers) {
-            if (peer.contact.domain == m_options.self.domain)
+            if (isNear(peer))
                 send(node, m_status);
         }
     }
@@ -179,8 +197,7 @@
     m_nextHeartbeat = now + heartbeatPeriod();
     const std::string frame = encodeFleetMessage(m_status);
     for (auto &[node, peer] : m_peers) {
-        const bool near = peer.contact.domain == m_options.self.domain;
-        if (!near && now - peer.sentAt < heartbeatPeriod() * m_options.farHeartbeatFactor)
+        if (!isNear(peer) && now - peer.sentAt < heartbeatPeriod() * m_options.farHeartbeatFactor)
             continue;
         if (peer.links.empty())
             continue;
@@ -202,7 +219,7 @@
 bool FleetNetwork::transmit(LinkId link, const FleetPeer &peer, const FleetMessage &message,
                             const std::string &frame)
 {
-    const bool far = peer.contact.domain != m_options.self.domain;
+    const bool far = !isNear(peer);
     FrameCount &count = m_sent.at(message.index()).at(far ? 1 : 0);
     ++count.frames;
     count.bytes += frame.size();
@@ -236,7 +253,7 @@
     Link &known = m_links[link];
     known.outgoing = outgoing;
     known.openedAt = m_timers.now();
-    m_transport.send(link, encodeFleetMessage(greeting()));
+    m_transport.send(link, encodeFleetMessage(GreetingMessage{.self = m_options.self}));
 }
 
 void FleetNetwork::linkFrame(LinkId link, const std::string &frame)
@@ -262,6 +279,10 @@
     peer.heardAt = m_timers.now();
     peer.probedAt = SteadyTime();
     peer.silent = false;
+    if (std::holds_alternative<ContactsFetchMessage>(*message))
+        send(node, ContactsMessage{.contacts = contacts()});
+    else if (const ContactsMessage *known = std::get_if<ContactsMessage>(&*message))
+        addContacts(known->contacts);
     const ProbeMessage *probe = std::get_if<ProbeMessage>(&*message);
     if (probe != nullptr && !probe->reply)
         send(node, ProbeMessage{.reply = true});
@@ -314,10 +335,12 @@
     peer.probedAt = SteadyTime();
     peer.silent = false;
     // Bytes between failure domains are dear, processor time within one is not worth it.
-    m_transport.setCompression(link, contact.domain != m_options.self.domain);
+    m_transport.setCompression(link, !isNear(peer));
     logEvent(Event::LinkOpened, {{"peer", contact.node}, {"links", peer.links.size()}});
     m_transport.send(link, encodeFleetMessage(m_status));
-    addContacts(greeting.contacts);
+    // The list is long, so it goes to the own failure domain; a lonely node asks for it.
+    if (isNear(peer))
+        m_transport.send(link, encodeFleetMessage(ContactsMessage{.contacts = contacts()}));
     for (FleetObserver *observer : m_observers)
         observer->fleetLinksChanged(contact.node);
 }
--- a/modules/fleet/fleet_network.h
+++ b/modules/fleet/fleet_network.h
@@ -39,6 +39,8 @@
     std::chrono::milliseconds dialTimeout{1'500};
     /** The node with the higher name leaves the first dial to the other one for this long. */
     std::chrono::milliseconds politeDelay{250};
+    /** A node without a link in its own failure domain asks a far one for contacts this often. */
+    std::chrono::milliseconds contactsFetchPeriod{2'000};
     std::chrono::milliseconds forgetAfter{600'000}; ///< Nodes that could not be reached for longer.
 };
 
@@ -104,6 +106,7 @@
     // By the message's number, to the own failure domain and to others.
     std::array<std::array<FrameCount, 2>, std::variant_size_v<FleetMessage>> m_sent{};
     SteadyTime m_nextHeartbeat;
+    SteadyTime m_nextContactsFetch;
     Timer m_tick;
 
     void tick();
@@ -114,7 +117,8 @@
     void sendHeartbeats();
     void greeted(LinkId link, const GreetingMessage &greeting);
     std::chrono::milliseconds silenceLimit() const;
-    GreetingMessage greeting() const;
+    void fetchContacts();
+    bool isNear(const FleetPeer &peer) const;
     bool transmit(LinkId link, const FleetPeer &peer, const FleetMessage &message,
                   const std::string &frame);
 
--- a/modules/fleet/message_codec.cpp
+++ b/modules/fleet/message_codec.cpp
@@ -149,18 +149,13 @@
 
 json encode(const GreetingMessage &message)
 {
-    json contacts = json::array();
-    for (const NodeContact &contact : message.contacts)
-        contacts.push_back(encodeContact(contact));
-    return {message.protocol, encodeContact(message.self), contacts};
+    return {message.protocol, encodeContact(message.self)};
 }
 
 void decode(const json &source, GreetingMessage &message)
 {
     source.at(0).get_to(message.protocol);
     message.self = decodeContact(source.at(1));
-    for (const json &contact : source.at(2))
-        message.contacts.push_back(decodeContact(contact));
 }
 
 json encode(const StatusMessage &message)
@@ -348,6 +343,27 @@
     source.get_to(message.reply);
 }
 
+json encode(const ContactsFetchMessage &)
+{
+    return nullptr;
+}
+
+void decode(const json &, ContactsFetchMessage &) {}
+
+json encode(const ContactsMessage &message)
+{
+    json contacts = json::array();
+    for (const NodeContact &contact : message.contacts)
+        contacts.push_back(encodeContact(contact));
+    return contacts;
+}
+
+void decode(const json &source, ContactsMessage &message)
+{
+    for (const json &contact : source)
+        message.contacts.push_back(decodeContact(contact));
+}
+
 /** Reads the fields of the alternative with the given number, which is below the variant's size. */
 template <std::size_t Index = 0>
 FleetMessage decodeAlternative(std::size_t number, const json &fields)
--- a/modules/fleet/messages.h
+++ b/modules/fleet/messages.h
@@ -27,11 +27,10 @@
 /** The first message on a link, sent by both ends. */
 struct GreetingMessage
 {
-    static constexpr std::uint32_t Protocol = 1;
+    static constexpr std::uint32_t Protocol = 2;
 
     std::uint32_t protocol = Protocol;
     NodeContact self;
-    std::vector<NodeContact> contacts; ///< Other nodes that the sender knows.
 };
 
 enum class BackendAvailability {
@@ -184,6 +183,17 @@
     bool reply = false;
 };
 
+/** Asks for the nodes that another node knows. */
+struct ContactsFetchMessage
+{
+};
+
+/** Nodes that the sender has links to. */
+struct ContactsMessage
+{
+    std::vector<NodeContact> contacts;
+};
+
 /** How a rollout ended. */
 enum class RolloutOutcome { Open, Completed, RolledBack };
 
@@ -197,10 +207,11 @@
 };
 
 /** In the order of their numbers on the wire. */
-using FleetMessage = std::variant<GreetingMessage, StatusMessage, WorkCallMessage,
-                                  WorkResultMessage, WorkCancelMessage, WorkResumeMessage,
-                                  TableFetchMessage, TableNewsMessage, VersionEvidenceMessage,
-                                  CrashSuspectMessage, RolloutProgressMessage, ProbeMessage>;
+using FleetMessage =
+        std::variant<GreetingMessage, StatusMessage, WorkCallMessage, WorkResultMessage,
+                     WorkCancelMessage, WorkResumeMessage, TableFetchMessage, TableNewsMessage,
+                     VersionEvidenceMessage, CrashSuspectMessage, RolloutProgressMessage,
+                     ProbeMessage, ContactsFetchMessage, ContactsMessage>;
 
 /** Returns the name used in logs. */
 std::string_view refusalName(WorkRefusal refusal);
--- /dev/null
+++ b/modules/fleet/tests/test_fleet_network.cpp
@@ -0,0 +1,97 @@
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "core/text.h"
+#include "modules/fleet/fleet_network.h"
+#include "tests/support/fake_link_hub.h"
+
+namespace jacinthshift {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+struct FleetNode
+{
+    FakeLinkTransport transport;
+    FleetNetwork network;
+
+    FleetNode(FakeLinkHub &hub, const std::string &domain, std::uint16_t port)
+        : transport(hub, Endpoint{"127.0.0.1", port})
+        , network(FleetNetworkOptions{.self = {.node = joinText(domain, "-", port),
+                                               .domain = domain,
+                                               .links = {"127.0.0.1", port},
+                                               .incarnation = 1},
+                                      .seed = port},
+                  transport, hub.timers)
+    {
+        REQUIRE(network.start().ok());
+    }
+};
+
+/** A mesh of one failure domain. */
+struct Fleet
+{
+    ManualTimerService timers;
+    FakeLinkHub hub{timers};
+    std::vector<std::unique_ptr<FleetNode>> nodes;
+
+    explicit Fleet(std::uint16_t size)
+    {
+        std::vector<NodeContact> contacts;
+        for (std::uint16_t port = 1; port <= size; ++port) {
+            nodes.push_back(std::make_unique<FleetNode>(hub, "a", port));
+            contacts.push_back(nodes.back()->network.self());
+        }
+        for (const std::unique_ptr<FleetNode> &node : nodes)
+            node->network.addContacts(contacts);
+        timers.advance(milliseconds(1'000));
+    }
+
+    NodeContact first() const { return nodes.front()->network.self(); }
+};
+
+/** Returns what a node of another failure domain and its peer send when they link. */
+std::size_t bytesOfLinkTo(std::uint16_t size)
+{
+    Fleet fleet(size);
+    FleetNode other(fleet.hub, "b", 200);
+    const Endpoint peer = fleet.first().links;
+    const std::size_t before = fleet.hub.bytesFrom[peer];
+    fleet.nodes.front()->network.addContacts({other.network.self()});
+    fleet.timers.advance(milliseconds(20));
+    REQUIRE(other.network.isReachable(*other.network.peer(fleet.first().node)));
+    return fleet.hub.bytesFrom[peer] - before + fleet.hub.bytesFrom[Endpoint{"127.0.0.1", 200}];
+}
+
+} // namespace
+
+TEST_CASE("Rolling restarts: a new link between failure domains costs the same in any mesh",
+          "[fleet]")
+{
+    REQUIRE(bytesOfLinkTo(40) == bytesOfLinkTo(2));
+}
+
+TEST_CASE("A node learns of all others from one node of its failure domain", "[fleet]")
+{
+    Fleet fleet(10);
+    FleetNode joining(fleet.hub, "a", 100);
+    joining.network.addContacts({fleet.first()});
+    fleet.timers.advance(milliseconds(1'000));
+    REQUIRE(joining.network.contacts().size() == 10);
+}
+
+TEST_CASE("A node that knows nobody in its failure domain learns of all others from a far one",
+          "[fleet]")
+{
+    Fleet fleet(10);
+    FleetNode joining(fleet.hub, "b", 100);
+    joining.network.addContacts({fleet.first()});
+    fleet.timers.advance(milliseconds(4'000));
+    REQUIRE(joining.network.contacts().size() == 10);
+}
+
+} // namespace jacinthshift
--- a/tests/support/fake_link_hub.h
+++ b/tests/support/fake_link_hub.h
@@ -26,6 +26,7 @@
     std::set<LinkId> silenced;
     std::vector<std::function<void()>> held; ///< Frames on silenced links.
     std::uint64_t lastLink = 0;
+    std::map<Endpoint, std::size_t> bytesFrom; ///< Sent by each listener.
 
     /** Delivers what silenced links have held, in order. */
     void release()
@@ -91,6 +92,7 @@
         if (found == m_links.end())
             return false;
         const Peer peer = found->second;
+        m_hub.bytesFrom[m_listen] += frame.size();
         if (m_hub.silenced.contains(link) || m_hub.silenced.contains(peer.link)) {
             m_hub.held.push_back([peer, frame] {
                 if (peer.transport->m_links.contains(peer.link))
