Retries: the common reserve is divided by the number of known nodes

Ruled out: an owner sending twice (each arrival in the trace has its own hand-over).

The part of a node is worked out in one place, retryBudgetOfNode(), from the nodes it knows. The new test sums the retries of all nodes and failed first (8100 of 6200 at 150 nodes).

--- a/modules/forwarding/forwarder.cpp
+++ b/modules/forwarding/forwarder.cpp
@@ -43,10 +43,15 @@
     , m_versions(versions)
     , m_metrics(metrics)
     , m_selector(options.selector, options.seed)
-    , m_budget(options.retries)
+    , m_budget(retryBudgetOfNode(options.retries, 1))
 {
 }
 
+void Forwarder::setNodeCount(std::size_t nodes)
+{
+    m_budget.setOptions(retryBudgetOfNode(m_options.retries, nodes));
+}
+
 void Forwarder::handle(HttpRequest request, std::shared_ptr<HttpResponder> responder)
 {
     const RequestPointer taken = std::make_shared<Request>();
--- a/modules/forwarding/forwarder.h
+++ b/modules/forwarding/forwarder.h
@@ -10,9 +10,9 @@
 #include "modules/fleet/call_server.h"
 #include "modules/fleet/remote_caller.h"
 #include "modules/forwarding/owner_selector.h"
+#include "modules/forwarding/retry_limits.h"
 #include "modules/forwarding/traffic_metrics.h"
 #include "modules/forwarding/version_policy.h"
-#include "modules/routing/retry_budget.h"
 #include "modules/traffic/route_table.h"
 #include "servers/header_names.h"
 #include "servers/http_server.h"
@@ -26,7 +26,7 @@
     std::string callerService; ///< The service on this VM; callers here count as its.
     HeaderNames headers;
     OwnerSelectorOptions selector;
-    RetryBudgetOptions retries;
+    RetryLimits retries; ///< Of all nodes together.
     std::uint64_t seed = 0;
     /** Owners that are asked at most; refusals of owners cost no backend server anything. */
     std::uint32_t maxHandOvers = 4;
@@ -129,6 +129,8 @@
 
     /** Puts a route table in force; without one every request is refused. */
     void setRoutes(RouteTable *routes) { m_routes = routes; }
+    /** Says how many nodes share the operator's limits of retries. */
+    void setNodeCount(std::size_t nodes);
     /** Takes one request and answers it through the responder. */
     void handle(HttpRequest request, std::shared_ptr<HttpResponder> responder);
     /** Refuses all further requests; those under way are still answered. */
--- /dev/null
+++ b/modules/forwarding/tests/test_retry_limits.cpp
@@ -0,0 +1,55 @@
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "modules/forwarding/retry_limits.h"
+
+namespace jacinthshift {
+
+namespace {
+
+/** Counts the retries that nodes make in one window while every request fails. */
+struct RetriesInWindow
+{
+    double direct = 0.0;
+    double requests = 0.0;
+
+    RetriesInWindow(const RetryLimits &limits, std::size_t nodes, int requestsPerNode)
+    {
+        for (std::size_t node = 0; node < nodes; ++node) {
+            RetryBudget budget(retryBudgetOfNode(limits, nodes));
+            for (int request = 0; request < requestsPerNode; ++request) {
+                budget.requestMade();
+                requests += 1.0;
+                while (budget.take())
+                    direct += 1.0;
+            }
+        }
+    }
+};
+
+} // namespace
+
+TEST_CASE("Failing minority everywhere: the retries of all nodes stay within the operator's limits",
+          "[retries]")
+{
+    const RetryLimits limits{.ratio = 0.2, .slack = 200.0};
+    const std::size_t nodes = GENERATE(1, 11, 80, 150);
+    const int requestsPerNode = GENERATE(1, 10, 200);
+    const RetriesInWindow window(limits, nodes, requestsPerNode);
+    CAPTURE(nodes, requestsPerNode, window.direct);
+    // A repeated run that calls the same service once doubles what arrives there.
+    REQUIRE(2.0 * window.direct <= limits.ratio * window.requests + limits.slack);
+}
+
+TEST_CASE("Failing minority: a node with few requests retries one of them in ten", "[retries]")
+{
+    const RetryLimits limits{.ratio = 0.2, .slack = 200.0};
+    RetryBudget budget(retryBudgetOfNode(limits, 1'000));
+    for (int request = 0; request < 11; ++request)
+        budget.requestMade();
+    REQUIRE(budget.take());
+    REQUIRE_FALSE(budget.take());
+}
+
+} // namespace jacinthshift
--- a/modules/routing/retry_budget.h
+++ b/modules/routing/retry_budget.h
@@ -9,6 +9,7 @@
 {
     double share = 0.1;    ///< Retries per request, on average.
     double reserve = 10.0; ///< Retries that may come at once after a quiet time.
+    double initial = 10.0; ///< Retries that may come before any request was made.
 };
 
 /** Allows retries as a share of the traffic, so that they cannot multiply a fault's load. */
@@ -19,10 +20,12 @@
 
 public:
     explicit RetryBudget(const RetryBudgetOptions &options)
-        : m_options(options), m_tokens(options.reserve)
+        : m_options(options), m_tokens(options.initial)
     {
     }
 
+    void setOptions(const RetryBudgetOptions &options) { m_options = options; }
+
     void requestMade() { m_tokens = std::min(m_options.reserve, m_tokens + m_options.share); }
 
     /** Returns whether one more retry may be made, and takes it from the budget. */
--- a/modules/routing/router.h
+++ b/modules/routing/router.h
@@ -32,7 +32,8 @@
     std::uint32_t maxAttempts = 4;
     std::uint32_t maxDepth = 32;
     RetryBudgetOptions retryBudget; ///< For requests that may have run.
-    RetryBudgetOptions refusalBudget{.share = 1.0, .reserve = 100.0}; ///< For refused ones.
+    RetryBudgetOptions refusalBudget{
+            .share = 1.0, .reserve = 100.0, .initial = 100.0}; ///< For refused ones.
 };
 
 enum class RoutedRequestId : std::uint64_t { None = 0 };
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -162,16 +162,11 @@
 
 ForwarderOptions forwarderOptions(const MeshSettings &settings, std::uint64_t seed)
 {
-    // The operator's budget holds for all nodes together and counts the calls of repeated runs as
-    // well, so each node uses a part of it.
-    constexpr double RatioPart = 0.5;
-    constexpr double SlackPart = 0.04;
     return ForwarderOptions{.node = settings.node,
                             .domain = settings.domain,
                             .callerService = settings.service,
                             .headers = wire::headerNames(),
-                            .retries = {.share = settings.retryRatio * RatioPart,
-                                        .reserve = std::max(1.0, settings.retrySlack * SlackPart)},
+                            .retries = {.ratio = settings.retryRatio, .slack = settings.retrySlack},
                             .seed = seed};
 }
 
@@ -351,6 +346,7 @@
                                .capacity = relayCapacity(settings),
                                .backend = owner.status()};
     network.setStatus(status, urgency);
+    forwarder.setNodeCount(network.peers().size() + 1);
 }
 
 absl::Status MeshNode::Parts::takeHeartbeat(const std::string &id, const HttpRequest &request)
