--- a/modules/fleet/call_server.cpp
+++ b/modules/fleet/call_server.cpp
@@ -56,13 +56,15 @@
 void CallServer::sendResult(const std::string &node, std::uint64_t call, const WorkResult &result)
 {
     const BackendStatus status = m_handler.status();
-    m_network.send(node, WorkResultMessage{.call = call,
-                                           .result = result,
-                                           .load = {.limit = status.limit,
-                                                    .running = status.running,
-                                                    .queued = status.queued,
-                                                    .startsPerSecond = status.startsPerSecond,
-                                                    .serviceTime = status.serviceTime}});
+    m_network.send(node,
+                   WorkResultMessage{.call = call,
+                                     .result = result,
+                                     .load = {.limit = status.limit,
+                                              .running = status.running,
+                                              .queued = status.queued,
+                                              .startsPerSecond = status.startsPerSecond,
+                                              .serviceTime = status.serviceTime,
+                                              .failuresPerThousand = status.failuresPerThousand}});
 }
 
 void CallServer::resume(const std::string &node, const WorkResumeMessage &message)
--- a/modules/fleet/fleet_network.cpp
+++ b/modules/fleet/fleet_network.cpp
@@ -297,6 +297,7 @@
         backend.queued = result->load.queued;
         backend.startsPerSecond = result->load.startsPerSecond;
         backend.serviceTime = result->load.serviceTime;
+        backend.failuresPerThousand = result->load.failuresPerThousand;
         peer.statusAt = m_timers.now();
     }
     for (FleetObserver *observer : m_observers)
--- a/modules/fleet/message_codec.cpp
+++ b/modules/fleet/message_codec.cpp
@@ -228,7 +228,8 @@
             message.load.running,
             message.load.queued,
             message.load.startsPerSecond,
-            message.load.serviceTime.count()};
+            message.load.serviceTime.count(),
+            message.load.failuresPerThousand};
 }
 
 void decode(const json &source, WorkResultMessage &message)
@@ -247,6 +248,7 @@
     source.at(10).get_to(message.load.queued);
     source.at(11).get_to(message.load.startsPerSecond);
     message.load.serviceTime = duration(source.at(12));
+    source.at(13).get_to(message.load.failuresPerThousand);
 }
 
 json encode(const WorkCancelMessage &message)
--- a/modules/fleet/messages.h
+++ b/modules/fleet/messages.h
@@ -122,6 +122,7 @@
     std::uint32_t queued = 0;
     std::uint32_t startsPerSecond = 0;
     std::chrono::milliseconds serviceTime{0};
+    std::uint32_t failuresPerThousand = 0;
 };
 
 struct WorkResultMessage
--- a/modules/forwarding/owner_selector.cpp
+++ b/modules/forwarding/owner_selector.cpp
@@ -42,7 +42,7 @@
     }
     if (load >= limit)
         total += (load - limit + 1.0) * service / limit;
-    return total + service * m_options.failurePenalty * backend.failuresPerThousand / PerThousand;
+    return total;
 }
 
 double OwnerSelector::cost(const OwnerCandidate &candidate, double fallbackServiceTime,
@@ -51,10 +51,13 @@
     const double target = static_cast<double>(context.targetLeft.count());
     const double expected = expectedTime(candidate, fallbackServiceTime, context.routeFactor);
     const double noisy = expected * (1.0 + m_options.noise * m_random.unit());
+    const double failures =
+            m_options.failureCost * target * candidate.backend.failuresPerThousand / PerThousand;
     if (!candidate.sameDomain)
-        return noisy + m_options.otherDomainPart * target;
-    // Near owners that are fast enough compete among themselves only.
-    return expected <= m_options.nearPart * target ? noisy * m_options.otherDomainPart : noisy;
+        return noisy + failures + m_options.otherDomainPart * target;
+    // Near owners that are fast enough are left for failures only.
+    const bool fastEnough = expected <= m_options.nearPart * target;
+    return (fastEnough ? noisy * m_options.otherDomainPart : noisy) + failures;
 }
 
 std::optional<std::size_t> OwnerSelector::choose(const std::vector<OwnerCandidate> &candidates,
--- a/modules/forwarding/owner_selector.h
+++ b/modules/forwarding/owner_selector.h
@@ -21,9 +21,8 @@
     double otherDomainPart = 0.5;
     /** A near owner that is expected to answer within this part of the target latency will do. */
     double nearPart = 0.7;
-    /** How much a failing backend server's answers count as longer: at 1 in 10 by this part of 10.
-     */
-    double failurePenalty = 4.0;
+    /** What a request that fails costs, as a multiple of the target latency. */
+    double failureCost = 2.0;
     /** A backend server that is full to this part begins to count as slower. */
     double comfortableLoad = 0.6;
     double crowdedPenalty = 0.3; ///< Part of the service time added to one that is just full.
--- a/modules/forwarding/tests/test_owner_selector.cpp
+++ b/modules/forwarding/tests/test_owner_selector.cpp
@@ -72,6 +72,25 @@
     CHECK(choices({failing, candidate("good", true, 6)})["failing"] == 0);
 }
 
+TEST_CASE("shedding majority: all near backend servers reject half, far ones without faults answer")
+{
+    const auto shedding = [](const std::string &node) {
+        OwnerCandidate result = candidate(node, true, 2);
+        result.backend.failuresPerThousand = 500;
+        return result;
+    };
+    const std::vector<OwnerCandidate> owners = {shedding("near-1"), shedding("near-2"),
+                                                shedding("near-3"), candidate("far", false, 4)};
+    CHECK(choices(owners)["far"] == 1'000);
+}
+
+TEST_CASE("failing minority: one failure now and then is no reason to leave the failure domain")
+{
+    OwnerCandidate near = candidate("near", true, 2);
+    near.backend.failuresPerThousand = 80;
+    CHECK(choices({near, candidate("far", false, 0)})["near"] == 1'000);
+}
+
 TEST_CASE("own calls that the owner's status does not show yet count as its load")
 {
     OwnerCandidate busy = candidate("busy", true, 0);
--- a/modules/owner/backend_owner.cpp
+++ b/modules/owner/backend_owner.cpp
@@ -15,7 +15,6 @@
 constexpr int FirstServerError = 500;
 constexpr int FirstSuccess = 200;
 constexpr int FirstRedirect = 300;
-constexpr double FailureWeight = 0.05; ///< Of the newest request in the mean share of failures.
 // What the answer needs on its way back, so that the caller's node hears it before its own timeout.
 constexpr std::chrono::milliseconds ReturnMargin{10};
 
@@ -64,7 +63,7 @@
     m_admission.setLimit(heartbeat.slots);
     if (outcome == RegistrationOutcome::NewLifetime) {
         m_evidence.clear();
-        m_recentFailures = 0.0;
+        m_recentFailures.reset();
         logEvent(Event::BackendAnnounced, {{"backend", heartbeat.id},
                                            {"version", heartbeat.version},
                                            {"slots", heartbeat.slots},
@@ -168,7 +167,7 @@
     status.queued = m_admission.waiting();
     status.startsPerSecond = static_cast<std::uint32_t>(std::ceil(m_admission.startsPerSecond()));
     status.serviceTime = m_admission.typicalServiceTime();
-    status.failuresPerThousand = static_cast<std::uint32_t>(std::lround(m_recentFailures * 1'000));
+    status.failuresPerThousand = m_recentFailures.perThousand(m_timers.now());
     status.braked = m_braked;
     return status;
 }
@@ -396,7 +395,7 @@
     const bool done = result.verdict == Verdict::Done;
     const bool failed = !done || result.response.status >= FirstServerError;
     if (result.verdict != Verdict::NotRun || result.refusal == WorkRefusal::Rejected)
-        m_recentFailures += FailureWeight * ((failed ? 1.0 : 0.0) - m_recentFailures);
+        m_recentFailures.add(failed, m_timers.now());
     const std::optional<BackendHeartbeat> &backend = m_registration.current();
     if (!backend || backend->id != work.backend || result.verdict == Verdict::NotRun)
         return;
--- a/modules/owner/backend_owner.h
+++ b/modules/owner/backend_owner.h
@@ -11,6 +11,7 @@
 #include "modules/fleet/call_server.h"
 #include "modules/owner/admission_queue.h"
 #include "modules/owner/backend_registration.h"
+#include "modules/owner/failure_share.h"
 #include "modules/traffic/traffic_config.h"
 #include "servers/header_names.h"
 #include "servers/http_client.h"
@@ -94,7 +95,7 @@
     std::uint32_t m_connectFailures = 0;
     std::vector<SteadyTime> m_lostAt;
     std::vector<std::uint64_t> m_lostFingerprints;
-    double m_recentFailures = 0.0; ///< Moving mean, 0 to 1.
+    FailureShare m_recentFailures{FailureShareOptions{}};
     Timer m_turns;
 
     WorkRefusal refusalFor(const WorkRequest &work) const;
