--- a/modules/forwarding/forwarder.cpp
+++ b/modules/forwarding/forwarder.cpp
@@ -43,15 +43,10 @@
     , m_versions(versions)
     , m_metrics(metrics)
     , m_selector(options.selector, options.seed)
-    , m_budget(retryBudgetOfNode(options.retries, 1))
+    , m_budgets(options.retries)
 {
 }
 
-void Forwarder::setNodeCount(std::size_t nodes)
-{
-    m_budget.setOptions(retryBudgetOfNode(m_options.retries, nodes));
-}
-
 void Forwarder::handle(HttpRequest request, std::shared_ptr<HttpResponder> responder)
 {
     const RequestPointer taken = std::make_shared<Request>();
@@ -63,7 +58,7 @@
     if (!admit(taken))
         return;
     m_requests.emplace(taken->id, taken);
-    m_budget.requestMade();
+    m_budgets.requestMade(taken->service);
     const std::weak_ptr<Request> weak = taken;
     taken->responder->onCallerGone([this, weak] {
         if (const RequestPointer left = weak.lock())
@@ -320,7 +315,7 @@
     // Another backend server would see it: that counts against the operator's limits.
     if (request.reached >= request.maxAttempts)
         return false;
-    if (!m_budget.take()) {
+    if (!m_budgets.take(request.service)) {
         m_metrics.retryDenied();
         return false;
     }
--- a/modules/forwarding/forwarder.h
+++ b/modules/forwarding/forwarder.h
@@ -10,7 +10,7 @@
 #include "modules/fleet/call_server.h"
 #include "modules/fleet/remote_caller.h"
 #include "modules/forwarding/owner_selector.h"
-#include "modules/forwarding/retry_limits.h"
+#include "modules/forwarding/service_retry_budgets.h"
 #include "modules/forwarding/traffic_metrics.h"
 #include "modules/forwarding/version_policy.h"
 #include "modules/traffic/route_table.h"
@@ -90,7 +90,7 @@
     VersionPolicy &m_versions;
     TrafficMetrics &m_metrics;
     OwnerSelector m_selector;
-    RetryBudget m_budget;
+    ServiceRetryBudgets m_budgets;
     RouteTable *m_routes = nullptr;
     std::unordered_map<std::string, std::chrono::milliseconds> m_longestDeadline;
     std::unordered_map<std::string, double> m_routeTimes;   ///< Mean milliseconds, by route.
@@ -130,7 +130,7 @@
     /** Puts a route table in force; without one every request is refused. */
     void setRoutes(RouteTable *routes) { m_routes = routes; }
     /** Says how many nodes share the operator's limits of retries. */
-    void setNodeCount(std::size_t nodes);
+    void setNodeCount(std::size_t nodes) { m_budgets.setNodeCount(nodes); }
     /** Takes one request and answers it through the responder. */
     void handle(HttpRequest request, std::shared_ptr<HttpResponder> responder);
     /** Refuses all further requests; those under way are still answered. */
--- a/modules/forwarding/tests/test_retry_limits.cpp
+++ b/modules/forwarding/tests/test_retry_limits.cpp
@@ -2,7 +2,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "modules/forwarding/retry_limits.h"
+#include "modules/forwarding/service_retry_budgets.h"
 
 namespace jacinthshift {
 
@@ -42,6 +42,24 @@
     REQUIRE(2.0 * window.direct <= limits.ratio * window.requests + limits.slack);
 }
 
+TEST_CASE("One service fails: its retries do not draw on the requests for others", "[retries]")
+{
+    const RetryLimits limits{.ratio = 0.2, .slack = 25.0};
+    ServiceRetryBudgets budgets(limits);
+    int retries = 0;
+    for (int request = 0; request < 1'000; ++request) {
+        budgets.requestMade("busy");
+        if (request % 10 != 0)
+            continue;
+        budgets.requestMade("failing");
+        while (budgets.take("failing"))
+            ++retries;
+    }
+    // 100 requests of the failing service.
+    REQUIRE(retries <= 0.2 * 100 + 25.0);
+    REQUIRE(retries >= 10);
+}
+
 TEST_CASE("Failing minority: a node with few requests retries one of them in ten", "[retries]")
 {
     const RetryLimits limits{.ratio = 0.2, .slack = 200.0};
