Retries: calls of backend servers get most of the budget

Cause: with most servers of the called service rejecting, callers' requests fail since the calls of their runs are not retried, while callers repeat their own requests anyway. A connection from the listener's own address is the VM's backend server.

--- a/drivers/tcp/tcp_listener.h
+++ b/drivers/tcp/tcp_listener.h
@@ -1,6 +1,7 @@
 #ifndef DRIVERS_TCP_TCP_LISTENER_H
 #define DRIVERS_TCP_TCP_LISTENER_H
 
+#include <cstdint>
 #include <functional>
 
 #include <absl/status/status.h>
@@ -10,11 +11,19 @@
 
 namespace jacinthshift {
 
+/** A connection that a listener took. */
+struct AcceptedConnection
+{
+    int descriptor = -1;     ///< Non-blocking; the receiver owns it.
+    bool fromThisVm = false; ///< The other end has the listener's own address.
+};
+
 /** A listening TCP socket on the epoll loop. */
 class TcpListener final : public DescriptorHandler
 {
     int m_descriptor = -1;
-    std::function<void(int)> m_accepted;
+    std::uint32_t m_address = 0; ///< In network byte order.
+    std::function<void(const AcceptedConnection &)> m_accepted;
 
     void descriptorReady(std::uint32_t events) override;
 
@@ -24,8 +33,9 @@
     TcpListener &operator=(const TcpListener &) = delete;
     ~TcpListener() override { close(); }
 
-    /** Listens; the callback takes over each new non-blocking descriptor. */
-    absl::Status listen(const Endpoint &endpoint, std::function<void(int)> accepted);
+    /** Listens; the callback takes over each new connection. */
+    absl::Status listen(const Endpoint &endpoint,
+                        std::function<void(const AcceptedConnection &)> accepted);
     void close();
 };
 
--- a/drivers/websocket/websocket_link_transport.cpp
+++ b/drivers/websocket/websocket_link_transport.cpp
@@ -219,7 +219,9 @@
 
     absl::Status listen()
     {
-        return listener.listen(options.listen, [this](int descriptor) { accepted(descriptor); });
+        return listener.listen(options.listen, [this](const AcceptedConnection &connection) {
+            accepted(connection.descriptor);
+        });
     }
 };
 
--- a/modules/forwarding/forwarder.h
+++ b/modules/forwarding/forwarder.h
@@ -63,6 +63,7 @@
         std::uint32_t priority = 0;
         std::uint32_t maxAttempts = 1;
         bool idempotent = false;
+        RequestOrigin origin = RequestOrigin::Caller;
         bool returning = false;
         SteadyTime arrivedAt;
         SteadyTime deadline;
--- a/modules/forwarding/retry_limits.h
+++ b/modules/forwarding/retry_limits.h
@@ -7,6 +7,12 @@
 
 namespace jacinthshift {
 
+/** Who made a request. */
+enum class RequestOrigin {
+    Caller,  ///< It may come back by itself after a failure.
+    Backend, ///< A call of a backend server for a request that it runs; it does not come back.
+};
+
 /** What the operator allows all nodes together in retries to one service. */
 struct RetryLimits
 {
@@ -15,13 +21,14 @@
 };
 
 /**
- * Returns the part of the limits that one of the given number of nodes may use.
+ * Returns the part of the limits that one of the given number of nodes may use for one origin.
  *
- * The calls that a repeated run makes count as retries at the called service as well, so half of
- * the ratio is left for them; the reserves of all nodes stay below half of the slack for the same
- * reason.
+ * The calls that a repeated run makes count as retries at the called service as well. With the
+ * parts of both origins adding up to the ratio, callers' requests and the calls that they cause
+ * stay within it together.
  */
-RetryBudgetOptions retryBudgetOfNode(const RetryLimits &limits, std::size_t nodes);
+RetryBudgetOptions retryBudgetOfNode(const RetryLimits &limits, std::size_t nodes,
+                                     RequestOrigin origin);
 
 } // namespace jacinthshift
 
--- a/modules/forwarding/service_retry_budgets.cpp
+++ b/modules/forwarding/service_retry_budgets.cpp
@@ -2,12 +2,13 @@
 
 namespace jacinthshift {
 
-RetryBudget &ServiceRetryBudgets::budget(const std::string &service)
+RetryBudget &ServiceRetryBudgets::budget(const std::string &service, RequestOrigin origin)
 {
-    const auto found = m_budgets.find(service);
+    const std::pair key(service, origin);
+    const auto found = m_budgets.find(key);
     if (found != m_budgets.end())
         return found->second;
-    return m_budgets.emplace(service, RetryBudget(retryBudgetOfNode(m_limits, m_nodes)))
+    return m_budgets.emplace(key, RetryBudget(retryBudgetOfNode(m_limits, m_nodes, origin)))
             .first->second;
 }
 
@@ -16,8 +17,8 @@
     if (nodes == m_nodes)
         return;
     m_nodes = nodes;
-    for (auto &[service, budget] : m_budgets)
-        budget.setOptions(retryBudgetOfNode(m_limits, nodes));
+    for (auto &[key, budget] : m_budgets)
+        budget.setOptions(retryBudgetOfNode(m_limits, nodes, key.second));
 }
 
 } // namespace jacinthshift
