Owner choice: near owners keep what they answer within 0.8 of the target

The near owner was left at 0.7 of the target, and another failure domain counted half of the target.

The new test failed with the former parts.

--- a/modules/forwarding/owner_selector.h
+++ b/modules/forwarding/owner_selector.h
@@ -18,9 +18,9 @@
      * What an owner in another failure domain counts as slower, as a part of the target latency.
      * Bytes between failure domains are dear, and a near owner that still answers in time will do.
      */
-    double otherDomainPart = 0.5;
+    double otherDomainPart = 0.75;
     /** A near owner that is expected to answer within this part of the target latency will do. */
-    double nearPart = 0.7;
+    double nearPart = 0.8;
     /** What a request that fails costs, as a multiple of the target latency. */
     double failureCost = 2.0;
     /** A backend server that is full to this part begins to count as slower. */
--- a/modules/forwarding/tests/test_owner_selector.cpp
+++ b/modules/forwarding/tests/test_owner_selector.cpp
@@ -51,6 +51,13 @@
           == 1'000);
 }
 
+TEST_CASE("surge in one failure domain: a near owner that just answers in time keeps the request")
+{
+    CHECK(choices({candidate("near", true, 3, milliseconds(380)),
+                   candidate("far", false, 0, milliseconds(40))})["near"]
+          == 1'000);
+}
+
 TEST_CASE("surge in one failure domain: what would come late there goes to another one")
 {
     OwnerCandidate near = candidate("near", true, 10);
