Owner: a cold backend server gets 0.85 of what the operator allows, instead of 0.95 of what it bears

The operator's bound is 1.5 times what the policy names, plus some; the settings bring that factor now (limits.cold_factor).

The new test fails with the former rate (9 of 10 a second) and holds the upper bound.

--- a/modules/owner/backend_owner.cpp
+++ b/modules/owner/backend_owner.cpp
@@ -138,7 +138,8 @@
     double rate = 0.0;
     if (isCold()) {
         rate = m_policy.coldRequestsPerSecond > 0.0
-                       ? m_policy.coldRequestsPerSecond * m_options.coldShare
+                       ? m_policy.coldRequestsPerSecond * m_options.coldFactor
+                                 * m_options.coldMargin
                        : m_options.unknownColdRate;
     }
     m_admission.setStartRate(rate, m_timers.now());
--- a/modules/owner/backend_owner.h
+++ b/modules/owner/backend_owner.h
@@ -33,8 +33,11 @@
     /** Connections lost within this time belong to one crash. */
     std::chrono::milliseconds crashWindow{150};
     std::uint32_t lostToSuspectCrash = 2;
-    /** What a cold backend server is given, as a part of what the operator says it bears. */
-    double coldShare = 0.95;
+    /** What a cold backend server is given at most, as a multiple of what it bears; the operator's.
+     */
+    double coldFactor = 1.0;
+    /** The part of that which is used: requests arrive unevenly, and clocks of seconds differ. */
+    double coldMargin = 0.85;
     /** Starts a second for a cold backend server of which the operator says nothing. */
     double unknownColdRate = 10.0;
     std::chrono::milliseconds turnPeriod{20}; ///< How often waiting requests are looked at.
--- a/modules/owner/tests/test_backend_owner.cpp
+++ b/modules/owner/tests/test_backend_owner.cpp
@@ -36,12 +36,16 @@
     ManualTimerService timers;
     PoisonRegistry poison{PoisonRegistryOptions{}};
     SilentObserver observer;
-    BackendOwner owner{BackendOwnerOptions{.node = "n", .service = "s", .headers = headerNames},
-                       http, timers, poison, observer};
+    BackendOwner owner;
     std::vector<WorkResult> results;
     std::uint64_t sequence = 0;
 
-    OwnerBench()
+    explicit OwnerBench(double coldFactor = 1.0)
+        : owner(BackendOwnerOptions{.node = "n",
+                                    .service = "s",
+                                    .headers = headerNames,
+                                    .coldFactor = coldFactor},
+                http, timers, poison, observer)
     {
         owner.setPolicy(ServicePolicy{.coldRequestsPerSecond = 10.0});
         REQUIRE(beat().ok());
@@ -236,4 +240,28 @@
     CHECK(bench.owner.status().startsPerSecond == 0);
 }
 
+TEST_CASE("cold return of everything: callers get most of what the operator allows, never more")
+{
+    constexpr double BornePerSecond = 10.0;
+    constexpr double ColdFactor = 1.5;
+    OwnerBench bench(ColdFactor);
+    REQUIRE(bench.beat(false, 1, milliseconds(4'000)).ok());
+    std::vector<std::size_t> startedBy; // Requests that were sent by the end of each 100 ms.
+    for (int tick = 0; tick < 35; ++tick) {
+        for (int request = 0; request < 10; ++request)
+            bench.run(std::to_string(tick * 10 + request));
+        bench.timers.advance(milliseconds(50));
+        while (!bench.http.open.empty())
+            bench.http.answer(200, {{"Seal", "x"}});
+        bench.timers.advance(milliseconds(50));
+        startedBy.push_back(bench.http.sent.size());
+    }
+    for (std::size_t end = 10; end < startedBy.size(); ++end) {
+        const double inSecond = static_cast<double>(startedBy[end] - startedBy[end - 10]);
+        CAPTURE(end, inSecond);
+        CHECK(inSecond <= BornePerSecond * ColdFactor);
+        CHECK(inSecond >= BornePerSecond);
+    }
+}
+
 } // namespace jacinthshift
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -191,7 +191,8 @@
     , poison(PoisonRegistryOptions{})
     , owner(BackendOwnerOptions{.node = settings.node,
                                 .service = settings.service,
-                                .headers = wire::headerNames()},
+                                .headers = wire::headerNames(),
+                                .coldFactor = settings.coldFactor},
             backendHttp, timers, poison, *this)
     , callServer(CallServerOptions{}, network, timers, owner)
     , remote(RemoteCallerOptions{}, network, timers)
--- a/node/mesh_settings.cpp
+++ b/node/mesh_settings.cpp
@@ -39,6 +39,7 @@
     settings.retrySlack = limits.real("retry_slack", settings.retrySlack);
     settings.retryWindow = limits.seconds("retry_window_seconds", settings.retryWindow);
     settings.canaryShare = limits.real("canary_share", settings.canaryShare);
+    settings.coldFactor = limits.real("cold_factor", settings.coldFactor);
     settings.maxFiles = limits.number("max_files", settings.maxFiles);
     settings.processorShare = limits.real("processor_share", settings.processorShare);
     settings.linkMegabits = limits.real("link_megabits", settings.linkMegabits);
--- a/node/mesh_settings.h
+++ b/node/mesh_settings.h
@@ -29,6 +29,7 @@
     double retrySlack = 60.0;               ///< Repeats that all nodes together may add.
     std::chrono::milliseconds retryWindow{10'000};
     double canaryShare = 0.1; ///< The largest share of a version that may be faulty.
+    double coldFactor = 1.0;  ///< Requests a cold backend server gets, per one that it bears.
     std::uint32_t maxFiles = 1'024;
     double processorShare = 1.0;   ///< Of a core, for this process.
     double linkMegabits = 1'000.0; ///< The VM's link, a second.
