Rollouts: a route that fails with the stable version as well is not blamed on the candidate

With fewer than 20 stable requests on a route the detector assumed that one in five fails, whatever those few showed; and a baseline was never taken as higher than 0.6, so a route on which everything fails condemned any candidate after some 40 requests.

The few stable requests now raise the assumed rate, and the baseline goes up to the highest rate that is looked for.

--- a/modules/release/fault_detector.cpp
+++ b/modules/release/fault_detector.cpp
@@ -12,8 +12,9 @@
 namespace {
 
 constexpr double LowestBaseline = 0.005;
-constexpr double HighestBaseline = 0.6;
+// Where the stable arm fails as often as this, failures tell nothing of the candidate.
 constexpr double HighestRate = 0.95;
+constexpr double HighestBaseline = HighestRate;
 constexpr double UpperBoundDeviations = 2.0;
 // The rates of failure that the CUSUMs look for: the baseline plus these parts of what is left.
 constexpr std::array<double, FaultDetector::Alternatives> Steps = {0.05, 0.2, 0.5, 0.9};
@@ -79,8 +80,10 @@
 
 double FaultDetector::failureBaseline() const
 {
-    if (m_usual.requests < m_options.minBaselineSamples)
-        return m_options.noBaseline;
+    if (m_usual.requests < m_options.minBaselineSamples) {
+        const double seen = m_usual.failures / (m_usual.requests + 1.0);
+        return std::clamp(seen, m_options.noBaseline, HighestBaseline);
+    }
     const double rate = std::max(upperRate(m_usual.failures, m_usual.requests),
                                  upperRate(m_present.failures, m_present.requests));
     return std::clamp(rate + m_options.failureMargin, LowestBaseline, HighestBaseline);
--- a/modules/rollout/tests/test_rollout_judge.cpp
+++ b/modules/rollout/tests/test_rollout_judge.cpp
@@ -107,6 +107,22 @@
     CHECK(falseAlarms <= 1);
 }
 
+TEST_CASE("a route on which all requests fail with both versions is not blamed on the new one")
+{
+    RolloutJudge judge("v2", detectorOptions);
+    VersionEvidenceMessage stable{.version = "v1", .backend = "b1", .routes = {{.route = "r"}}};
+    VersionEvidenceMessage candidate{.version = "v2", .backend = "b2", .routes = {{.route = "r"}}};
+    for (int round = 0; round < 200; ++round) {
+        for (VersionEvidenceMessage *owner : {&stable, &candidate}) {
+            owner->routes[0].counts.requests += 2;
+            owner->routes[0].counts.failures += 2;
+            judge.addReport(owner->backend, *owner);
+        }
+        CAPTURE(round);
+        REQUIRE(judge.fault().empty());
+    }
+}
+
 TEST_CASE("an owner that starts again counts from zero and its old counts stay")
 {
     RolloutJudge judge("v2", detectorOptions);
