--- a/modules/forwarding/retry_limits.cpp
+++ b/modules/forwarding/retry_limits.cpp
@@ -6,7 +6,9 @@
 
 namespace {
 
+// The other half is for the calls that repeated runs make.
 constexpr double RatioPart = 0.5;
+// A repeated run that calls the same service once doubles its part, which leaves a fifth spare.
 constexpr double SlackPart = 0.4;
 
 } // namespace
--- a/node/contact_book.h
+++ b/node/contact_book.h
@@ -18,7 +18,7 @@
  * Makes this node known in the log and finds the others there.
  *
  * A node writes before it reads, so of two that start together at least one finds the other; nodes
- * that are linked tell each other of further ones.
+ * of one failure domain tell each other of further ones.
  */
 class ContactBook
 {
