--- a/modules/fleet/fleet_network.cpp
+++ b/modules/fleet/fleet_network.cpp
@@ -166,7 +166,7 @@
     peer.dialingSince = m_timers.now();
     peer.nextDial = m_timers.now() + peer.redial + m_random.jitter(peer.redial);
     peer.redial = std::min(peer.redial * 2, m_options.longestRedial);
-    m_links[peer.dialing] = Link{.outgoing = true};
+    m_links[peer.dialing] = Link{};
 }
 
 void FleetNetwork::setStatus(const StatusMessage &status, StatusUrgency urgency)
@@ -248,11 +248,9 @@
     }
 }
 
-void FleetNetwork::linkOpened(LinkId link, bool outgoing)
+void FleetNetwork::linkOpened(LinkId link, bool)
 {
-    Link &known = m_links[link];
-    known.outgoing = outgoing;
-    known.openedAt = m_timers.now();
+    m_links.try_emplace(link);
     m_transport.send(link, encodeFleetMessage(GreetingMessage{.self = m_options.self}));
 }
 
--- a/modules/fleet/fleet_network.h
+++ b/modules/fleet/fleet_network.h
@@ -91,8 +91,6 @@
     struct Link
     {
         std::string node; ///< Empty until it has greeted.
-        bool outgoing = false;
-        SteadyTime openedAt;
     };
 
     FleetNetworkOptions m_options;
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -252,6 +252,7 @@
     logTimer = Timer(timers, timers.startPeriodic(LogFlushPeriod, [] { flushLog(); }));
     statusTimer = Timer(timers, timers.startPeriodic(std::chrono::milliseconds(100), [this] {
         publishStatus(StatusUrgency::Nobody);
+        forwarder.setNodeCount(network.peers().size() + 1);
     }));
     settingsTimer = Timer(
             timers, timers.startPeriodic(SettingsCheckPeriod, [this] { checkSettingsFile(); }));
@@ -347,7 +348,6 @@
                                .capacity = relayCapacity(settings),
                                .backend = owner.status()};
     network.setStatus(status, urgency);
-    forwarder.setNodeCount(network.peers().size() + 1);
 }
 
 absl::Status MeshNode::Parts::takeHeartbeat(const std::string &id, const HttpRequest &request)
