Concurrency limit: an answer that came late is not replaced while others run

Now a late answer holds the number that may run to what still runs; answers in time to later requests open it again, one for one up to half, then by rounds; meanwhile the deviation is learnt at a tenth of the speed.

Failed first: three cases in test_admission.

--- a/modules/admission/concurrency_limit.cpp
+++ b/modules/admission/concurrency_limit.cpp
@@ -11,6 +11,9 @@
 // certain that the limit itself does not cause them.
 constexpr double FloorDrift = 0.2;
 constexpr double DeviationSmoothing = 0.02;
+// After a late answer; an overload must not pass for the usual spread while it lasts, but latencies
+// that differ for good have to be learnt.
+constexpr double HeldDeviationSmoothing = 0.002;
 
 } // namespace
 
@@ -27,6 +30,7 @@
     m_ceiling = m_slots;
     m_floor = 0.0;
     m_deviation = 0.0;
+    m_held = 0;
     m_phase = Phase::Lowered;
     m_round = {};
     m_fullRound = {};
@@ -42,6 +46,43 @@
     return std::chrono::milliseconds(static_cast<std::int64_t>(m_floor + std::max(excess, least)));
 }
 
+std::uint32_t ConcurrencyLimit::allowed() const
+{
+    return m_held > 0 ? std::min(m_limit, m_held) : m_limit;
+}
+
+void ConcurrencyLimit::answered(SteadyTime now, SteadyTime startedAt, std::uint32_t stillRunning)
+{
+    const std::chrono::milliseconds late = stallAge();
+    if (late.count() == 0)
+        return;
+    if (now - startedAt > late)
+        hold(now, startedAt, stillRunning);
+    else if (m_held > 0 && startedAt >= m_heldSince)
+        loosen();
+}
+
+void ConcurrencyLimit::hold(SteadyTime now, SteadyTime startedAt, std::uint32_t stillRunning)
+{
+    // Late answers to requests that ran together are one overload.
+    if (m_held == 0 || startedAt >= m_heldSince)
+        m_reopen = std::max(1U, (stillRunning + 1) / 2);
+    m_held = std::max(1U, std::min(allowed(), stillRunning));
+    m_heldSince = now;
+    m_heldRound = 0;
+}
+
+void ConcurrencyLimit::loosen()
+{
+    ++m_heldRound;
+    if (m_held < m_reopen || m_heldRound >= m_held) {
+        ++m_held;
+        m_heldRound = 0;
+    }
+    if (m_held >= m_limit)
+        m_held = 0;
+}
+
 void ConcurrencyLimit::change(SteadyTime now, std::uint32_t limit)
 {
     m_limit = std::clamp(limit, 1U, m_slots);
@@ -87,8 +128,9 @@
     if (m_phase == Phase::Standing)
         latency = std::min(latency, m_floor * m_options.outlier + noise());
     m_round.add(latency);
+    const double smoothing = m_held > 0 ? HeldDeviationSmoothing : DeviationSmoothing;
     if (m_floor > 0.0)
-        m_deviation += DeviationSmoothing * (std::abs(latency - m_floor) - m_deviation);
+        m_deviation += smoothing * (std::abs(latency - m_floor) - m_deviation);
     if (inFlight >= m_limit)
         m_fullRound.add(latency);
     if (m_round.count >= roundSize())
--- a/modules/admission/concurrency_limit.h
+++ b/modules/admission/concurrency_limit.h
@@ -70,6 +70,13 @@
     Phase m_phase = Phase::Standing;
     SteadyTime m_changedAt;
     SteadyTime m_ceilingUntil;
+    std::uint32_t m_held = 0;   ///< How many may run after a late answer; 0 without one.
+    std::uint32_t m_reopen = 0; ///< Up to here it grows with each answer, then with each round.
+    std::uint32_t m_heldRound = 0;
+    SteadyTime m_heldSince;
+
+    void hold(SteadyTime now, SteadyTime startedAt, std::uint32_t stillRunning);
+    void loosen();
 
     void change(SteadyTime now, std::uint32_t limit);
     void lower(SteadyTime now, std::uint32_t limit);
@@ -81,6 +88,8 @@
     ConcurrencyLimit(const ConcurrencyLimitOptions &options, std::uint32_t slots);
 
     std::uint32_t limit() const { return m_limit; }
+    /** Returns how many may run now: the limit, or fewer after a late answer. */
+    std::uint32_t allowed() const;
     std::uint32_t slots() const { return m_slots; }
     /** Returns the latency without load; zero until it is known. */
     std::chrono::milliseconds floorLatency() const
@@ -90,6 +99,13 @@
     /** Returns the age from which a running request counts as stalled; zero if unknown. */
     std::chrono::milliseconds stallAge() const;
 
+    /**
+     * Notes an answer to a request and how many others still run. One that came as late as a
+     * stalled request is not replaced by another: it is the first sign of a backend server that has
+     * turned cold. Answers in time to later requests open the limit again, first one for one up to
+     * half of what ran, then round by round.
+     */
+    void answered(SteadyTime now, SteadyTime startedAt, std::uint32_t stillRunning);
     /** Takes the outcome of a request that started when inFlight requests ran, itself included. */
     void finished(SteadyTime now, SteadyTime startedAt, WorkOutcome outcome,
                   std::uint32_t inFlight);
--- a/modules/admission/tests/test_admission.cpp
+++ b/modules/admission/tests/test_admission.cpp
@@ -50,6 +50,59 @@
     CHECK(limit.limit() <= 4);
 }
 
+TEST_CASE("sudden cold: requests that ended late are not replaced while others run")
+{
+    ConcurrencyLimit limit({}, 20);
+    SteadyTime now{std::chrono::hours(1)};
+    runRounds(limit, now, 200, 20);
+    REQUIRE(limit.limit() >= 10);
+    const SteadyTime start = now;
+    for (std::uint32_t left = 6; left > 0; --left) {
+        now += Milliseconds(left == 6 ? 30 : 1);
+        limit.answered(now, start, left - 1);
+        CHECK(limit.allowed() == std::max(1U, left - 1));
+    }
+}
+
+TEST_CASE("sudden cold: the lateness of an overload does not become the usual one")
+{
+    ConcurrencyLimit limit({}, 20);
+    SteadyTime now{std::chrono::hours(1)};
+    runRounds(limit, now, 200, 20);
+    for (int answer = 0; answer < 60; ++answer) {
+        const SteadyTime start = now;
+        const std::uint32_t running = std::min(limit.limit(), 2U);
+        now += Milliseconds(running == 1 ? 20 : 40);
+        limit.answered(now, start, running - 1);
+        limit.finished(now, start, WorkOutcome::Success, running);
+    }
+    CHECK(limit.stallAge() < Milliseconds(40));
+}
+
+TEST_CASE("a hiccup: answers in time open the limit again, and those to earlier requests do not")
+{
+    ConcurrencyLimit limit({}, 20);
+    SteadyTime now{std::chrono::hours(1)};
+    runRounds(limit, now, 200, 20);
+    const SteadyTime start = now;
+    now += Milliseconds(60);
+    for (std::uint32_t left = 12; left > 0; --left)
+        limit.answered(now, start, left - 1);
+    REQUIRE(limit.allowed() == 1);
+    limit.answered(now + Milliseconds(10), now - Milliseconds(10), 1);
+    CHECK(limit.allowed() == 1);
+    // Half of what ran is back after as many answers; the rest follows by rounds.
+    int answers = 0;
+    for (; limit.allowed() < 6; ++answers)
+        limit.answered(now + Milliseconds(40), now + Milliseconds(20), 1);
+    CHECK(answers <= 5);
+    limit.answered(now + Milliseconds(40), now + Milliseconds(20), 1);
+    CHECK(limit.allowed() == 6);
+    for (; limit.allowed() < limit.limit(); ++answers)
+        limit.answered(now + Milliseconds(40), now + Milliseconds(20), 1);
+    CHECK(answers <= 200);
+}
+
 TEST_CASE("an idempotency key runs once and its answer is given again")
 {
     IdempotencyMemory memory({.keepFor = std::chrono::seconds(10)});
--- a/modules/backend/backend_agent.cpp
+++ b/modules/backend/backend_agent.cpp
@@ -205,7 +205,7 @@
 
 bool BackendAgent::mayStart()
 {
-    if (inFlight() >= limit())
+    if (inFlight() >= m_limit.allowed())
         return false;
     // A backend server that has turned cold shows it first by requests that do not end. Nothing
     // more is started while many of them are overdue.
@@ -308,6 +308,7 @@
 {
     const std::uint32_t before = limit();
     const bool failed = response.status >= 500;
+    m_limit.answered(m_timers.now(), work->startedAt, inFlight() - 1);
     m_limit.finished(m_timers.now(), work->startedAt, WorkOutcome::Success, work->inFlightAtStart);
     if (limit() != before)
         logEvent(Event::LimitChanged, {{"from", before}, {"to", limit()}});
