Fault soak of the mesh node: real processes, faults from outside, promises checked from what callers and backend servers see

Nodes run as processes; store, backend servers, callers and operator are stand-ins in the soak's own process, links go through the network relay, which learnt to hold bytes of one direction and to reset connections. 29 kinds of faults come in series and overlap by seed. The mesh node's settings may name advertised links, as the other node's do, so that a relay can stand between.

--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -184,7 +184,7 @@
     , transport(LinkTransportOptions{.listen = settings.links})
     , network(FleetNetworkOptions{.self = {.node = settings.node,
                                            .domain = settings.domain,
-                                           .links = settings.links,
+                                           .links = settings.advertisedLinks,
                                            .incarnation = incarnation},
                                   .seed = seed},
               transport, timers)
--- a/node/mesh_settings.cpp
+++ b/node/mesh_settings.cpp
@@ -19,6 +19,7 @@
     settings.readiness = listen.endpoint("readiness");
     settings.control = listen.endpoint("control");
     settings.links = listen.endpoint("links");
+    settings.advertisedLinks = listen.endpoint("advertised_links", settings.links);
     settings.metrics = listen.endpoint("metrics");
     listen.finish();
     YamlSection platform = root.section("platform");
@@ -31,7 +32,8 @@
             continue;
         }
         // Seeds are named by another address of theirs; the port of links is the same everywhere.
-        settings.seeds.push_back(Endpoint{.address = seed->address, .port = settings.links.port});
+        settings.seeds.push_back(
+                Endpoint{.address = seed->address, .port = settings.advertisedLinks.port});
     }
     YamlSection limits = root.section("limits");
     settings.grace = limits.seconds("grace_seconds", settings.grace);
--- a/node/mesh_settings.h
+++ b/node/mesh_settings.h
@@ -16,11 +16,12 @@
 {
     std::string node;
     std::string domain;
-    std::string service; ///< Of the backend server on this VM.
-    Endpoint callers;    ///< Where callers and the backend server of this VM send requests.
-    Endpoint readiness;  ///< Where the platform asks whether the node is ready.
-    Endpoint control;    ///< Where the backend server sends its heartbeats.
-    Endpoint links;      ///< Where other nodes connect.
+    std::string service;      ///< Of the backend server on this VM.
+    Endpoint callers;         ///< Where callers and the backend server of this VM send requests.
+    Endpoint readiness;       ///< Where the platform asks whether the node is ready.
+    Endpoint control;         ///< Where the backend server sends its heartbeats.
+    Endpoint links;           ///< Where other nodes connect.
+    Endpoint advertisedLinks; ///< What other nodes are told to connect to.
     Endpoint metrics;
     Endpoint store;                         ///< The platform's store.
     std::vector<Endpoint> seeds;            ///< Other nodes' links; may be stale.
--- /dev/null
+++ b/tests/soak/fault_plan.cpp
@@ -0,0 +1,97 @@
+#include "tests/soak/fault_plan.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+#include "core/random.h"
+
+namespace jacinthshift {
+
+namespace {
+
+constexpr std::chrono::milliseconds MeanGap{1'300};
+constexpr std::chrono::milliseconds ShortestFault{300};
+constexpr std::chrono::milliseconds LongestFault{5'000};
+// One fault in so many is followed at once by another of its kind.
+constexpr std::uint64_t SeriesPart = 4;
+
+// A soak dwells on a few kinds, so that the same kinds meet each other several times.
+constexpr std::size_t KindsPerSoak = 8;
+
+struct KindTraits
+{
+    std::string_view name;
+    bool planned = false;
+};
+
+constexpr std::array<KindTraits, FaultKindCount> Traits{{
+        {"kill node"},
+        {"kill domain"},
+        {"kill all"},
+        {"freeze node"},
+        {"stop", true},
+        {"stop in turn", true},
+        {"reload", true},
+        {"store down"},
+        {"store slow"},
+        {"store loses answers"},
+        {"store forgets"},
+        {"store cut from node"},
+        {"cut domain"},
+        {"hold domain"},
+        {"hold one way"},
+        {"silence links"},
+        {"reset links"},
+        {"delay links"},
+        {"backend crash"},
+        {"backend fails"},
+        {"backend slow"},
+        {"backend hangs"},
+        {"backend cold"},
+        {"backend drains", true},
+        {"drain in turn", true},
+        {"change config", true},
+        {"config storm", true},
+        {"take out domain", true},
+        {"burst"},
+}};
+
+} // namespace
+
+std::string_view faultName(FaultKind kind)
+{
+    return Traits[static_cast<std::size_t>(kind)].name;
+}
+
+bool isPlanned(FaultKind kind)
+{
+    return Traits[static_cast<std::size_t>(kind)].planned;
+}
+
+std::vector<Fault> drawFaults(std::uint64_t seed, std::chrono::milliseconds length)
+{
+    Random random(seed);
+    std::array<FaultKind, KindsPerSoak> kinds{};
+    for (FaultKind &kind : kinds)
+        kind = static_cast<FaultKind>(random.below(FaultKindCount));
+    std::vector<Fault> faults;
+    std::chrono::milliseconds at{0};
+    while (true) {
+        const bool again = !faults.empty() && random.below(SeriesPart) == 0;
+        const double gap = -std::log(1.0 - random.unit());
+        at += std::chrono::duration_cast<std::chrono::milliseconds>(MeanGap
+                                                                    * (again ? gap / 4.0 : gap));
+        if (at >= length)
+            return faults;
+        const FaultKind kind = again ? faults.back().kind : kinds[random.below(kinds.size())];
+        const std::chrono::milliseconds duration =
+                ShortestFault + random.jitter(LongestFault - ShortestFault);
+        faults.push_back(Fault{.kind = kind,
+                               .at = at,
+                               .duration = std::min(duration, length - at),
+                               .target = random.below(1'000)});
+    }
+}
+
+} // namespace jacinthshift
--- /dev/null
+++ b/tests/soak/soak_backend.cpp
@@ -0,0 +1,226 @@
+#include "tests/soak/soak_backend.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/duration.h"
+#include "core/text.h"
+#include "platform/tests/record_encoder.h"
+#include "platform/wire_names.h"
+
+namespace jacinthshift {
+
+namespace {
+
+const HeaderNames names = wire::headerNames();
+constexpr int StatusFailed = 500;
+constexpr int StatusWrongServer = 421;
+constexpr int StatusUnavailable = 503;
+constexpr std::chrono::milliseconds HeartbeatPeriod{500};
+constexpr std::chrono::milliseconds HeartbeatLimit{1'000};
+constexpr std::chrono::milliseconds DrainTime{2'500}; ///< It serves for so long once acknowledged.
+constexpr std::chrono::milliseconds LongestDrain{8'000};
+constexpr std::chrono::milliseconds Downtime{1'500};
+constexpr std::size_t QueueRoom = 4;
+constexpr std::size_t BodyBytes = 600;
+
+} // namespace
+
+std::chrono::milliseconds SoakBackend::coldLeft() const
+{
+    const auto left =
+            std::chrono::duration_cast<std::chrono::milliseconds>(m_coldUntil - m_timers.now());
+    return std::max(left, std::chrono::milliseconds(0));
+}
+
+void SoakBackend::start(bool cold)
+{
+    m_bornAt = static_cast<std::uint64_t>(unixMilliseconds(std::chrono::system_clock::now()));
+    m_id = joinText("i-", m_options.listen.address, "-", m_bornAt);
+    m_sequence = 0;
+    m_failPercent = 0;
+    m_slowFactor = 1;
+    m_hang = false;
+    m_draining = false;
+    m_drainAcknowledged = false;
+    m_server = std::make_unique<BeastHttpServer>(HttpServerOptions{});
+    const absl::Status status =
+            m_server->listen(m_options.listen,
+                             [this](const HttpRequest &request, const ResponderPointer &responder) {
+                                 serve(request, responder);
+                             });
+    if (!status.ok()) {
+        crash(Downtime);
+        return;
+    }
+    if (cold)
+        turnCold();
+    m_heartbeat = Timer(m_timers, m_timers.startPeriodic(HeartbeatPeriod, [this] { beat(); }));
+    beat();
+}
+
+void SoakBackend::turnCold()
+{
+    m_coldUntil = m_timers.now() + m_options.coldPeriod;
+    m_ledger.backendCold(m_id, m_timers.now(), m_coldUntil);
+}
+
+void SoakBackend::beat()
+{
+    const bool draining = m_draining;
+    const BackendHeartbeat heartbeat{.id = m_id,
+                                     .service = m_options.service,
+                                     .version = "v1",
+                                     .domain = m_options.domain,
+                                     .endpoint = m_options.listen,
+                                     .slots = m_options.slots,
+                                     .draining = draining,
+                                     .sequence = ++m_sequence,
+                                     .startedAt = m_bornAt,
+                                     .coldRemaining = coldLeft()};
+    const HttpRequest request{.method = "PUT",
+                              .target = joinText(wire::InstancesPath, m_id),
+                              .headers = {{"Content-Type", "application/json"}},
+                              .body = encodeHeartbeat(heartbeat)};
+    m_http.send(HttpSendOptions{.server = m_options.control, .timeout = HeartbeatLimit}, request,
+                [this, id = m_id, draining](const HttpResult &result) {
+                    beatAnswered(id, draining, result);
+                });
+}
+
+void SoakBackend::beatAnswered(const std::string &id, bool draining, const HttpResult &result)
+{
+    if (result.verdict != Verdict::Done || result.response.status != 200 || !draining)
+        return;
+    m_ledger.drainAcknowledged(id, m_timers.now());
+    if (id != m_id || std::exchange(m_drainAcknowledged, true))
+        return;
+    m_restart = Timer(m_timers, m_timers.startOnce(DrainTime, [this] { leave(); }));
+}
+
+void SoakBackend::drain()
+{
+    if (!isRunning() || m_draining)
+        return;
+    m_draining = true;
+    m_restart = Timer(m_timers, m_timers.startOnce(LongestDrain, [this] { leave(); }));
+    beat();
+}
+
+void SoakBackend::leave()
+{
+    const HttpRequest request{.method = "DELETE",
+                              .target = joinText(wire::InstancesPath, m_id),
+                              .headers = {{"Content-Type", "application/json"}},
+                              .body = encodeGoodbye(m_bornAt)};
+    m_http.send(HttpSendOptions{.server = m_options.control, .timeout = HeartbeatLimit}, request,
+                [](const HttpResult &) {});
+    crash(Downtime);
+}
+
+void SoakBackend::end()
+{
+    m_heartbeat.stop();
+    for (auto &[number, work] : m_running)
+        m_ledger.runEnded(work.run, m_timers.now(), RunEnd::Broken);
+    m_running.clear();
+    m_queue.clear();
+    m_server.reset();
+}
+
+void SoakBackend::crash(std::chrono::milliseconds pause)
+{
+    end();
+    m_restart = Timer(m_timers, m_timers.startOnce(pause, [this] { start(true); }));
+}
+
+HttpHeader SoakBackend::loadHeader() const
+{
+    return {names.load, joinText(m_running.size(), ",", m_queue.size(), ",", m_options.slots)};
+}
+
+void SoakBackend::answerProbe(const ResponderPointer &responder) const
+{
+    responder->respond(
+            HttpResponse{.status = m_draining ? StatusUnavailable : 200,
+                         .headers = {{names.instance, m_id},
+                                     {names.coldMilliseconds, std::to_string(coldLeft().count())},
+                                     loadHeader()}});
+}
+
+void SoakBackend::serve(const HttpRequest &request, const ResponderPointer &responder)
+{
+    if (request.target == "/health") {
+        answerProbe(responder);
+        return;
+    }
+    const std::string_view target = findHeader(request.headers, names.expectedInstance);
+    if (!target.empty() && target != m_id) {
+        responder->respond(
+                HttpResponse{.status = StatusWrongServer, .headers = {{names.notRun, "1"}}});
+        return;
+    }
+    const SteadyTime now = m_timers.now();
+    m_ledger.arrived(m_id, m_options, request, now);
+    if (m_running.size() >= m_options.slots && m_queue.size() >= QueueRoom) {
+        responder->respond(HttpResponse{.status = StatusUnavailable,
+                                        .headers = {{names.notRun, "1"}, loadHeader()}});
+        return;
+    }
+    const std::uint64_t number = ++m_lastWork;
+    responder->onCallerGone([this, number] { abandon(number); });
+    Work work{.request = request, .responder = responder};
+    if (m_running.size() < m_options.slots)
+        run(number, std::move(work));
+    else
+        m_queue.emplace_back(number, std::move(work));
+}
+
+void SoakBackend::run(std::uint64_t number, Work work)
+{
+    work.run = m_ledger.runStarted(m_id, m_options, work.request, m_timers.now());
+    const std::chrono::milliseconds base = m_options.work * m_slowFactor * (isCold() ? 2 : 1);
+    const std::chrono::milliseconds time = base / 2 + m_random.jitter(base);
+    if (!m_hang)
+        work.end = Timer(m_timers, m_timers.startOnce(time, [this, number] { finish(number); }));
+    m_running.emplace(number, std::move(work));
+}
+
+void SoakBackend::finish(std::uint64_t number)
+{
+    const auto found = m_running.find(number);
+    const Work work = std::move(found->second);
+    m_running.erase(found);
+    const bool failed = m_random.below(100) < m_failPercent;
+    m_ledger.runEnded(work.run, m_timers.now(), failed ? RunEnd::Failed : RunEnd::Succeeded);
+    const std::string id(findHeader(work.request.headers, names.requestId));
+    const std::string body =
+            failed ? "failed" : Ledger::wholeBody(id, m_options.service, BodyBytes);
+    work.responder->respond(HttpResponse{
+            .status = failed ? StatusFailed : 200,
+            .headers = {{names.requestId, id}, {names.seal, Ledger::seal(id, body)}, loadHeader()},
+            .body = body});
+    startQueued();
+}
+
+void SoakBackend::startQueued()
+{
+    while (!m_queue.empty() && m_running.size() < m_options.slots) {
+        auto [next, waiting] = std::move(m_queue.front());
+        m_queue.pop_front();
+        run(next, std::move(waiting));
+    }
+}
+
+void SoakBackend::abandon(std::uint64_t number)
+{
+    std::erase_if(m_queue, [number](const auto &entry) { return entry.first == number; });
+    const auto found = m_running.find(number);
+    if (found == m_running.end())
+        return;
+    m_ledger.runEnded(found->second.run, m_timers.now(), RunEnd::Abandoned);
+    m_running.erase(found);
+    startQueued();
+}
+
+} // namespace jacinthshift
--- /dev/null
+++ b/tests/soak/soak_faults.cpp
@@ -0,0 +1,308 @@
+// The faults of a soak; the rest of the class is in soak.cpp.
+#include <csignal>
+#include <utility>
+
+#include "core/text.h"
+#include "tests/soak/soak.h"
+
+namespace jacinthshift {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds StoreDelay{400};
+constexpr std::chrono::milliseconds LinkDelay{120};
+constexpr std::chrono::milliseconds StepInTurn{700};
+constexpr std::chrono::milliseconds StormGap{120};
+constexpr std::chrono::milliseconds CrashDowntime{1'500};
+constexpr std::uint32_t FailPercent = 40;
+constexpr std::uint32_t SlowFactor = 8;
+
+} // namespace
+
+void Soak::disturb(const Fault &fault, std::optional<std::size_t> node)
+{
+    const SteadyTime now = m_timers.now();
+    m_ledger.disturbances.push_back(Disturbance{.kind = std::string(faultName(fault.kind)),
+                                                .from = now,
+                                                .until = now + fault.duration,
+                                                .node = node,
+                                                .planned = isPlanned(fault.kind)});
+}
+
+void Soak::begin(const Fault &fault)
+{
+    switch (fault.kind) {
+    case FaultKind::KillNode:
+    case FaultKind::KillDomain:
+    case FaultKind::KillAll:
+    case FaultKind::FreezeNode:
+    case FaultKind::StopNode:
+    case FaultKind::StopInTurn:
+    case FaultKind::Reload:
+        beginNodeFault(fault);
+        break;
+    case FaultKind::StoreDown:
+    case FaultKind::StoreSlow:
+    case FaultKind::StoreLosesAnswers:
+    case FaultKind::StoreForgets:
+    case FaultKind::StoreCutFromNode:
+        beginStoreFault(fault);
+        break;
+    case FaultKind::CutDomain:
+    case FaultKind::HoldDomain:
+    case FaultKind::HoldOneWay:
+    case FaultKind::SilenceLinks:
+    case FaultKind::ResetLinks:
+    case FaultKind::DelayLinks:
+        beginLinkFault(fault);
+        break;
+    case FaultKind::BackendCrash:
+    case FaultKind::BackendFails:
+    case FaultKind::BackendSlow:
+    case FaultKind::BackendHangs:
+    case FaultKind::BackendCold:
+    case FaultKind::BackendDrains:
+    case FaultKind::DrainInTurn:
+        beginBackendFault(fault);
+        break;
+    case FaultKind::ChangeConfig:
+    case FaultKind::ConfigStorm:
+    case FaultKind::TakeOutDomain:
+    case FaultKind::Burst:
+        beginOperatorAct(fault);
+        break;
+    }
+}
+
+void Soak::kill(SoakNode &node)
+{
+    if (node.process.hasEnded())
+        return;
+    node.expectedToEnd = true;
+    node.stopping = false;
+    node.process.signal(SIGCONT);
+    node.process.signal(SIGKILL);
+}
+
+void Soak::stop(SoakNode &node)
+{
+    if (node.process.hasEnded() || node.expectedToEnd)
+        return;
+    node.expectedToEnd = true;
+    node.stopping = true;
+    node.stopSentAt = m_timers.now();
+    node.stopDisturbance = m_ledger.disturbances.size();
+    disturb(Fault{.kind = FaultKind::StopNode, .duration = std::chrono::milliseconds(7'000)},
+            node.index);
+    node.process.signal(SIGTERM);
+}
+
+void Soak::beginNodeFault(const Fault &fault)
+{
+    SoakNode &node = *m_nodes[fault.target % m_nodes.size()];
+    switch (fault.kind) {
+    case FaultKind::KillNode:
+        disturb(fault, node.index);
+        kill(node);
+        break;
+    case FaultKind::KillDomain:
+    case FaultKind::KillAll:
+        disturb(fault, std::nullopt);
+        for (const std::unique_ptr<SoakNode> &one : m_nodes) {
+            if (fault.kind == FaultKind::KillAll || one->domain == node.domain)
+                kill(*one);
+        }
+        break;
+    case FaultKind::FreezeNode:
+        disturb(fault, node.index);
+        node.process.signal(SIGSTOP);
+        node.thaw = Timer(m_timers, m_timers.startOnce(fault.duration,
+                                                       [&node] { node.process.signal(SIGCONT); }));
+        break;
+    case FaultKind::StopInTurn:
+        for (std::size_t i = 0; i < m_nodes.size(); ++i)
+            later(StepInTurn * i, [this, i] { stop(*m_nodes[i]); });
+        break;
+    case FaultKind::Reload:
+        disturb(fault, node.index);
+        if (!node.process.hasEnded() && node.missedProbes < 2)
+            node.process.signal(SIGHUP);
+        break;
+    default:
+        stop(node);
+        break;
+    }
+}
+
+void Soak::beginStoreFault(const Fault &fault)
+{
+    disturb(fault, std::nullopt);
+    switch (fault.kind) {
+    case FaultKind::StoreDown:
+        m_storeDown = true;
+        m_store.setDown(true);
+        later(fault.duration, [this] {
+            m_storeDown = false;
+            m_store.setDown(false);
+        });
+        break;
+    case FaultKind::StoreSlow:
+        m_store.setDelay(StoreDelay);
+        later(fault.duration, [this] { m_store.setDelay(std::chrono::milliseconds(0)); });
+        break;
+    case FaultKind::StoreLosesAnswers:
+        m_store.setLoseAnswers(true);
+        later(fault.duration, [this] { m_store.setLoseAnswers(false); });
+        break;
+    case FaultKind::StoreForgets:
+        m_store.forgetHistory();
+        break;
+    default:
+        heldUntil(fault, m_cuts,
+                  {{"from", m_nodes[fault.target % m_nodes.size()]->address},
+                   {"to", m_prefix + ".250."}});
+        break;
+    }
+}
+
+void Soak::heldUntil(const Fault &fault, json &list, const json &entry)
+{
+    list.push_back(entry);
+    orderRelay(json::object());
+    later(fault.duration, [this, &list, entry] {
+        for (std::size_t i = 0; i < list.size(); ++i) {
+            if (list[i] == entry) {
+                list.erase(i);
+                break;
+            }
+        }
+        orderRelay(json::object());
+    });
+}
+
+void Soak::orderRelay(const json &extra)
+{
+    // One order at a time: two on their way could overtake each other.
+    m_relayOrder.update(extra);
+    m_relayOrder["cuts"] = m_cuts;
+    m_relayOrder["holds"] = m_holds;
+    m_relayOrder["delay_ms"] = m_linkDelay.count();
+    if (m_relayBusy)
+        return;
+    m_relayBusy = true;
+    const std::string body = std::exchange(m_relayOrder, json::object()).dump();
+    m_http.send(HttpSendOptions{.server = {m_prefix + ".251.1", 6100}},
+                HttpRequest{.method = "POST", .target = "/control", .body = body},
+                [this](const HttpResult &result) {
+                    if (result.verdict != Verdict::Done)
+                        incident("soak", "the network relay does not answer");
+                    m_relayBusy = false;
+                    if (!m_relayOrder.empty())
+                        orderRelay(json::object());
+                });
+}
+
+void Soak::beginLinkFault(const Fault &fault)
+{
+    disturb(fault, std::nullopt);
+    const std::string here = domainPrefix(fault.target % m_options.domains);
+    const std::string there = domainPrefix((fault.target + 1) % m_options.domains);
+    switch (fault.kind) {
+    case FaultKind::CutDomain:
+        heldUntil(fault, m_cuts, {{"from", here}, {"to", there}});
+        break;
+    case FaultKind::HoldDomain:
+        heldUntil(fault, m_holds, {{"from", here}, {"to", there}});
+        heldUntil(fault, m_holds, {{"from", there}, {"to", here}});
+        break;
+    case FaultKind::HoldOneWay:
+        heldUntil(fault, m_holds, {{"from", here}, {"to", there}});
+        break;
+    case FaultKind::SilenceLinks:
+        orderRelay({{"silence", true}});
+        break;
+    case FaultKind::ResetLinks:
+        orderRelay({{"reset", true}});
+        break;
+    default:
+        m_linkDelay = LinkDelay;
+        orderRelay(json::object());
+        later(fault.duration, [this] {
+            m_linkDelay = std::chrono::milliseconds(0);
+            orderRelay(json::object());
+        });
+        break;
+    }
+}
+
+void Soak::beginBackendFault(const Fault &fault)
+{
+    disturb(fault, std::nullopt);
+    SoakBackend &backend = *m_nodes[fault.target % m_nodes.size()]->backend;
+    if (fault.kind == FaultKind::DrainInTurn) {
+        for (std::size_t i = 0; i < m_nodes.size(); ++i)
+            later(StepInTurn * i, [this, i] { m_nodes[i]->backend->drain(); });
+        return;
+    }
+    if (!backend.isRunning())
+        return;
+    switch (fault.kind) {
+    case FaultKind::BackendCrash:
+        backend.crash(CrashDowntime);
+        break;
+    case FaultKind::BackendFails:
+        backend.setFailPercent(FailPercent);
+        later(fault.duration, [&backend] { backend.setFailPercent(0); });
+        break;
+    case FaultKind::BackendSlow:
+        backend.setSlowFactor(SlowFactor);
+        later(fault.duration, [&backend] { backend.setSlowFactor(1); });
+        break;
+    case FaultKind::BackendHangs:
+        backend.setHang(true);
+        later(fault.duration, [&backend] { backend.setHang(false); });
+        break;
+    case FaultKind::BackendCold:
+        backend.turnCold();
+        break;
+    default:
+        backend.drain();
+        break;
+    }
+}
+
+void Soak::beginOperatorAct(const Fault &fault)
+{
+    const std::string domain = m_nodes[fault.target % m_options.domains]->domain;
+    switch (fault.kind) {
+    case FaultKind::Burst:
+        disturb(fault, std::nullopt);
+        ++m_bursts;
+        later(fault.duration, [this] { --m_bursts; });
+        break;
+    case FaultKind::TakeOutDomain:
+        // The operator's calls are not answered while the store is down.
+        if (m_storeDown)
+            break;
+        disturb(fault, std::nullopt);
+        takeOut(domain, true);
+        later(fault.duration + m_bounds.evacuate, [this, domain] { takeOut(domain, false); });
+        break;
+    case FaultKind::ConfigStorm:
+        for (int i = 1; i < 8; ++i)
+            later(StormGap * i, [this] {
+                if (!m_storeDown)
+                    publishConfig();
+            });
+        [[fallthrough]];
+    default:
+        disturb(fault, std::nullopt);
+        if (!m_storeDown)
+            publishConfig();
+        break;
+    }
+}
+
+} // namespace jacinthshift
--- a/tests/standins/network_relay.cpp
+++ b/tests/standins/network_relay.cpp
@@ -1,13 +1,18 @@
 // A stand-in for the network between VMs: it relays TCP connections and can cut, silence or delay
 // them. A connection's origin is known by the IP number it comes from.
 //
-// POST /control takes {"cuts": [{"from": PREFIX, "to": PREFIX}], "silence": true, "delay_ms": N}.
-// A cut closes matching connections and refuses new ones; silence stops all connections that are
-// open now from carrying anything, for good, while new ones work.
+// POST /control takes {"cuts": [{"from": PREFIX, "to": PREFIX}], "holds": [{"from", "to"}],
+// "silence": true, "reset": true, "delay_ms": N}. A cut closes matching connections and refuses new
+// ones; a hold keeps what is sent from one side to the other until it is taken back; silence stops
+// all connections that are open now from carrying anything, for good, while new ones work; reset
+// closes those that are open now.
+#include <algorithm>
+#include <deque>
 #include <list>
 #include <memory>
 #include <sstream>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <gflags/gflags.h>
@@ -27,6 +32,7 @@
 
 using nlohmann::json;
 
+/** Concerns what goes between two groups of VMs, named by the start of their addresses. */
 struct Cut
 {
     std::string from;
@@ -38,13 +44,22 @@
     }
 };
 
+/** Bytes on their way, and when they arrive. */
+struct Chunk
+{
+    SteadyTime due;
+    std::string bytes;
+};
+
 /** One direction of a relayed connection. */
 struct Pipe
 {
     TcpSocket *from = nullptr;
     TcpSocket *to = nullptr;
-    std::string waiting;
-    std::list<Timer> delayed;
+    std::string sender;
+    std::string receiver;
+    std::deque<Chunk> waiting; ///< In the order in which they were sent.
+    Timer arrival;             ///< Of the first one.
 };
 
 struct Connection
@@ -65,6 +80,7 @@
     GlibTimerService m_timers;
     SoupHttpServer m_control{HttpServerOptions{}};
     std::vector<Cut> m_cuts;
+    std::vector<Cut> m_holds;
     std::chrono::milliseconds m_delay{0};
     std::list<std::shared_ptr<Connection>> m_connections;
     Timer m_sweeper;
@@ -87,6 +103,13 @@
         return false;
     }
 
+    bool isHeld(const Pipe &pipe) const
+    {
+        return std::any_of(m_holds.begin(), m_holds.end(), [&pipe](const Cut &hold) {
+            return hold.hits(pipe.sender, pipe.receiver);
+        });
+    }
+
     void accept(GObjectPointer<GSocket> socket, const Endpoint &target)
     {
         const auto connection = std::make_shared<Connection>();
@@ -96,8 +119,14 @@
         if (isCut(connection->origin, connection->target)
             || !connection->far.connect(target, connection->origin))
             return;
-        connection->up = Pipe{.from = &connection->near, .to = &connection->far};
-        connection->down = Pipe{.from = &connection->far, .to = &connection->near};
+        connection->up = Pipe{.from = &connection->near,
+                              .to = &connection->far,
+                              .sender = connection->origin,
+                              .receiver = connection->target};
+        connection->down = Pipe{.from = &connection->far,
+                                .to = &connection->near,
+                                .sender = connection->target,
+                                .receiver = connection->origin};
         m_connections.push_back(connection);
         connection->far.waitWritable([this, connection] {
             if (!connection->far.finishConnect()) {
@@ -115,6 +144,8 @@
         connection->dead = true;
         connection->near.stopWaiting();
         connection->far.stopWaiting();
+        connection->up.arrival.stop();
+        connection->down.arrival.stop();
     }
 
     void pump(const std::shared_ptr<Connection> &connection, Pipe &pipe)
@@ -138,16 +169,31 @@
     {
         if (connection->silent)
             return;
-        if (m_delay.count() == 0 && pipe.delayed.empty()) {
+        SteadyTime due = m_timers.now() + m_delay;
+        if (!pipe.waiting.empty())
+            due = std::max(due, pipe.waiting.back().due);
+        pipe.waiting.push_back(Chunk{.due = due, .bytes = bytes});
+        deliverDue(connection, pipe);
+    }
+
+    /** Delivers what has arrived, in order; during a hold nothing arrives. */
+    void deliverDue(const std::shared_ptr<Connection> &connection, Pipe &pipe)
+    {
+        pipe.arrival.stop();
+        const SteadyTime now = m_timers.now();
+        while (!pipe.waiting.empty() && !isHeld(pipe)) {
+            if (pipe.waiting.front().due > now) {
+                const auto left = std::chrono::ceil<std::chrono::milliseconds>(
+                        pipe.waiting.front().due - now);
+                pipe.arrival = Timer(m_timers, m_timers.startOnce(left, [this, connection, &pipe] {
+                    deliverDue(connection, pipe);
+                }));
+                return;
+            }
+            const std::string bytes = std::move(pipe.waiting.front().bytes);
+            pipe.waiting.pop_front();
             deliver(connection, pipe, bytes);
-            return;
         }
-        pipe.delayed.emplace_back(m_timers,
-                                  m_timers.startOnce(m_delay, [this, connection, &pipe, bytes] {
-                                      deliver(connection, pipe, bytes);
-                                  }));
-        if (pipe.delayed.size() > 256)
-            pipe.delayed.pop_front();
     }
 
     void deliver(const std::shared_ptr<Connection> &connection, Pipe &pipe,
@@ -176,21 +222,30 @@
         m_connections.remove_if([](const auto &connection) { return connection->dead; });
     }
 
+    static std::vector<Cut> readCuts(const json &list)
+    {
+        std::vector<Cut> cuts;
+        for (const json &cut : list)
+            cuts.push_back(Cut{.from = cut.at("from").get<std::string>(),
+                               .to = cut.at("to").get<std::string>()});
+        return cuts;
+    }
+
     void order(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder)
     {
         const json order = json::parse(request.body, nullptr, false);
-        if (order.contains("cuts")) {
-            m_cuts.clear();
-            for (const json &cut : order["cuts"])
-                m_cuts.push_back(Cut{.from = cut.at("from").get<std::string>(),
-                                     .to = cut.at("to").get<std::string>()});
-        }
+        if (order.contains("cuts"))
+            m_cuts = readCuts(order["cuts"]);
+        if (order.contains("holds"))
+            m_holds = readCuts(order["holds"]);
         m_delay = std::chrono::milliseconds(order.value("delay_ms", m_delay.count()));
         for (const auto &connection : m_connections) {
             if (order.value("silence", false))
                 connection->silent = true;
-            if (isCut(connection->origin, connection->target))
+            if (order.value("reset", false) || isCut(connection->origin, connection->target))
                 kill(connection);
+            deliverDue(connection, connection->up);
+            deliverDue(connection, connection->down);
         }
         sweep();
         responder->respond(HttpResponse{});
--- a/tests/support/mesh_bench.cpp
+++ b/tests/support/mesh_bench.cpp
@@ -14,10 +14,10 @@
 
 MeshBench::MeshBench(std::string binaries, const std::vector<VmPlan> &plans,
                      std::string extraSettings)
-    : m_binaries(std::move(binaries)), m_extraSettings(std::move(extraSettings))
+    : m_binaries(std::move(binaries))
+    , m_prefix(m_network.prefix())
+    , m_extraSettings(std::move(extraSettings))
 {
-    // Several benches may run at once, so each takes a network of its own.
-    m_prefix = joinText("127.", 1 + getpid() % 250);
     m_directory =
             joinText(std::filesystem::temp_directory_path().string(), "/jacinthshift-", getpid());
     std::filesystem::remove_all(m_directory);
--- a/tests/support/mesh_bench.h
+++ b/tests/support/mesh_bench.h
@@ -11,6 +11,7 @@
 #include "drivers/beast/beast_http_client.h"
 #include "drivers/glib/glib_timer_service.h"
 #include "tests/support/child_process.h"
+#include "tests/support/loopback_network.h"
 
 namespace jacinthshift {
 
@@ -46,6 +47,7 @@
 {
     std::string m_directory;
     std::string m_binaries;
+    LoopbackNetwork m_network;
     std::string m_prefix; ///< The first two numbers of all addresses.
     std::map<std::string, std::unique_ptr<Vm>> m_vms;
     std::map<std::string, std::string> m_domainPrefixes;
