--- a/modules/forwarding/forwarder.cpp
+++ b/modules/forwarding/forwarder.cpp
@@ -37,11 +37,11 @@
                      TrafficMetrics &metrics)
     : m_options(options)
     , m_timers(timers)
-    , m_network(network)
     , m_remote(remote)
     , m_local(local)
     , m_versions(versions)
     , m_metrics(metrics)
+    , m_owners(network, remote, local, timers)
     , m_selector(options.selector, options.seed)
     , m_budgets(options.retries)
 {
@@ -131,38 +131,9 @@
             request.arrivedAt + std::clamp(target - spent, std::chrono::milliseconds(0), timeout);
 }
 
-std::vector<OwnerCandidate> Forwarder::candidates(const Request &request, bool anyVersion) const
-{
-    std::vector<OwnerCandidate> found;
-    const auto consider = [&](const std::string &node, const std::string &domain,
-                              const BackendStatus &backend, std::uint32_t outstanding) {
-        const bool fits = backend.availability == BackendAvailability::Ready
-                          && backend.service == request.service && !backend.braked
-                          && (request.version.allows(backend.version)
-                              || (anyVersion && backend.version != request.version.excluded));
-        const bool tried =
-                std::find(request.tried.begin(), request.tried.end(), node) != request.tried.end();
-        if (!fits || tried)
-            return;
-        found.push_back(OwnerCandidate{.node = node,
-                                       .sameDomain = domain == m_options.domain,
-                                       .backend = backend,
-                                       .outstanding = outstanding});
-    };
-    consider(m_options.node, m_options.domain, m_local.status(), 0);
-    for (const auto &[node, peer] : m_network.peers()) {
-        if (peer.hasStatus && m_network.isReachable(peer) && !peer.status.leaving)
-            consider(node, peer.contact.domain, peer.status.backend, m_remote.outstanding(node));
-    }
-    return found;
-}
-
 std::optional<OwnerCandidate> Forwarder::chooseOwner(Request &request)
 {
-    std::vector<OwnerCandidate> possible = candidates(request, false);
-    if (possible.empty() && request.version.mayFallBack) {
-        possible = candidates(request, true);
-    }
+    const std::vector<OwnerCandidate> possible = m_owners.candidates(request.ownerQuery());
     const std::optional<std::size_t> best = m_selector.choose(
             possible, SelectionContext{.targetLeft = untilTime(m_timers.now(), request.targetAt),
                                        .routeFactor = routeFactor(request)});
@@ -338,6 +309,8 @@
         return;
     }
     const bool known = request->handOvers > 0;
+    if (request->handOvers < m_options.maxHandOvers)
+        request->leftOut = m_owners.leftOut(request->ownerQuery());
     const std::string_view reason = known ? refusalName(request->lastRefusal) : "no-owner";
     const std::chrono::milliseconds hint =
             request->retryHint.count() > 0 ? request->retryHint : m_options.retryWithoutOwner;
@@ -419,7 +392,8 @@
               {"reached", request.reached},
               {"left_ms", untilTime(now, request.deadline).count()},
               {"ms", latency.count() / 1'000},
-              {"trail", request.trail.empty() ? "no owner could be asked" : request.trail}});
+              {"trail", request.trail.empty() ? "no owner could be asked" : request.trail},
+              {"left_out", request.leftOut}});
 }
 
 void Forwarder::answer(const RequestPointer &request, HttpResponse response,
--- a/modules/forwarding/forwarder.h
+++ b/modules/forwarding/forwarder.h
@@ -9,6 +9,7 @@
 
 #include "modules/fleet/call_server.h"
 #include "modules/fleet/remote_caller.h"
+#include "modules/forwarding/owner_directory.h"
 #include "modules/forwarding/owner_selector.h"
 #include "modules/forwarding/service_retry_budgets.h"
 #include "modules/forwarding/traffic_metrics.h"
@@ -22,7 +23,6 @@
 struct ForwarderOptions
 {
     std::string node;
-    std::string domain;
     std::string callerService; ///< The service on this VM; callers here count as its.
     HeaderNames headers;
     OwnerSelectorOptions selector;
@@ -67,7 +67,8 @@
         SteadyTime arrivedAt;
         SteadyTime deadline;
         SteadyTime targetAt;
-        std::string trail; ///< What became of each try, for the log line of a failure.
+        std::string trail;   ///< What became of each try, for the log line of a failure.
+        std::string leftOut; ///< Why no further owner could be asked.
         std::vector<std::string> tried;
         std::uint32_t handOvers = 0;
         std::uint32_t reached = 0; ///< Backend servers that bytes of it were sent to.
@@ -79,16 +80,21 @@
         WorkRefusal lastRefusal = WorkRefusal::None;
         std::unique_ptr<HttpResponse> failedAnswer; ///< A backend server's error, kept for the end.
         Timer timeout;
+
+        OwnerQuery ownerQuery() const
+        {
+            return {.service = service, .version = version, .tried = tried};
+        }
     };
     using RequestPointer = std::shared_ptr<Request>;
 
     ForwarderOptions m_options;
     TimerService &m_timers;
-    FleetNetwork &m_network;
     RemoteCaller &m_remote;
     WorkHandler &m_local;
     VersionPolicy &m_versions;
     TrafficMetrics &m_metrics;
+    OwnerDirectory m_owners;
     OwnerSelector m_selector;
     ServiceRetryBudgets m_budgets;
     RouteTable *m_routes = nullptr;
@@ -101,7 +107,6 @@
 
     bool admit(const RequestPointer &request);
     void setTimes(Request &request, const TrafficRoute &route);
-    std::vector<OwnerCandidate> candidates(const Request &request, bool anyVersion) const;
     std::optional<OwnerCandidate> chooseOwner(Request &request);
     void tryNext(const RequestPointer &request);
     void noteTry(Request &request, const WorkResult &result) const;
--- a/modules/forwarding/tests/test_forwarder.cpp
+++ b/modules/forwarding/tests/test_forwarder.cpp
@@ -80,7 +80,7 @@
     RemoteCaller remote{RemoteCallerOptions{}, network, timers};
     AnyVersion versions;
     TrafficMetrics metrics;
-    Forwarder forwarder{{.node = "near", .domain = "d", .headers = headerNames},
+    Forwarder forwarder{{.node = "near", .headers = headerNames},
                         timers,
                         network,
                         remote,
@@ -230,6 +230,25 @@
     CHECK(bench.remoteOwner.works.size() == 1);
 }
 
+TEST_CASE("why owners were left out is told, with the age of what is known of them")
+{
+    ForwarderBench bench;
+    const OwnerDirectory directory(bench.network, bench.remote, bench.local, bench.timers);
+    const std::string service = "s";
+    const VersionChoice version{.only = "v2"};
+    const std::vector<std::string> tried = {"near"};
+    const OwnerQuery query{.service = service, .version = version, .tried = tried};
+    CHECK(directory.candidates(query).empty());
+    CHECK(directory.leftOut(query) == "near tried, other runs another version (199 ms ago)");
+    bench.remoteOwner.state.availability = BackendAvailability::Draining;
+    bench.farNetwork.setStatus({.backend = bench.remoteOwner.state}, StatusUrgency::Everywhere);
+    bench.timers.advance(milliseconds(10));
+    CHECK(directory.leftOut(query).find("other draining (") != std::string::npos);
+    const std::string unknown = "x";
+    CHECK(directory.leftOut({.service = unknown, .version = version, .tried = tried})
+          == "no owner of the service is known");
+}
+
 TEST_CASE("persistent retriers: repeats of what may have run stay within the budget")
 {
     ForwarderBench bench;
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -163,7 +163,6 @@
 ForwarderOptions forwarderOptions(const MeshSettings &settings, std::uint64_t seed)
 {
     return ForwarderOptions{.node = settings.node,
-                            .domain = settings.domain,
                             .callerService = settings.service,
                             .headers = wire::headerNames(),
                             .retries = {.ratio = settings.retryRatio, .slack = settings.retrySlack},
