Fewer calls to the log when nodes start

Now the check comes after the wait, a node reads the table itself until its first whole read was answered, and waits 0.5 s before it follows; by then it knows whether others do.

--- a/modules/feed/table_follower.cpp
+++ b/modules/feed/table_follower.cpp
@@ -1,6 +1,7 @@
 #include "modules/feed/table_follower.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "core/logger.h"
 
@@ -69,10 +70,8 @@
     noteReachable(true, "");
     m_retry = m_options.firstRetry;
     m_needsWhole = false;
-    if (whole)
-        read();
-    else
-        readAfter(m_options.pause);
+    const bool first = !std::exchange(m_hasRead, true);
+    readAfter(first ? m_options.settleTime : m_options.pause);
 }
 
 void TableFollower::failed(const absl::Status &status)
--- a/modules/feed/table_follower.h
+++ b/modules/feed/table_follower.h
@@ -18,6 +18,8 @@
     std::chrono::milliseconds longPoll{25'000};
     /** Between two reads, so that changes in quick succession cost one read. */
     std::chrono::milliseconds pause{120};
+    /** After the first read of the whole table; by then a node knows whether others follow it. */
+    std::chrono::milliseconds settleTime{500};
     std::chrono::milliseconds firstRetry{150};
     std::chrono::milliseconds longestRetry{1'000};
 };
@@ -32,7 +34,7 @@
     Timer m_next;
     std::chrono::milliseconds m_retry;
     std::uint64_t m_round = 0; ///< Answers of an earlier round are only merged.
-    SteadyTime m_lastAnswer;
+    bool m_hasRead = false;
     bool m_active = false;
     bool m_needsWhole = true;
     bool m_reachable = false;
@@ -51,6 +53,8 @@
     /** Starts or stops reading. A read under way is still merged. */
     void setActive(bool active);
     bool isActive() const { return m_active; }
+    /** Returns whether the whole table was read since the start. */
+    bool hasRead() const { return m_hasRead; }
     /** Returns whether the last read was answered. */
     bool isReachable() const { return m_reachable; }
 };
--- a/modules/feed/table_sync.cpp
+++ b/modules/feed/table_sync.cpp
@@ -25,7 +25,7 @@
 
 bool TableSync::shouldRead() const
 {
-    if (m_timers.now() - m_startedAt < m_options.settleTime)
+    if (!m_follower.hasRead() && m_timers.now() - m_startedAt < m_options.settleTime)
         return true;
     // The VMs with the most capacity read, so a small one does not relay for the others.
     const NodeContact &self = m_network.self();
--- a/modules/feed/table_sync.h
+++ b/modules/feed/table_sync.h
@@ -23,7 +23,8 @@
     std::chrono::milliseconds fetchPause{350};
     std::uint32_t capacity = 0; ///< What this VM can do for others, as it tells them.
     std::uint64_t seed = 0;
-    /** Before this time after the start a node reads the log itself, whoever else does. */
+    /** A node that starts reads the log once itself, whoever else does, unless that takes longer.
+     */
     std::chrono::milliseconds settleTime{3'000};
 };
 
--- /dev/null
+++ b/modules/feed/tests/test_table_sync.cpp
@@ -0,0 +1,116 @@
+#include <algorithm>
+#include <memory>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "core/text.h"
+#include "modules/feed/table_sync.h"
+#include "tests/support/fake_keyed_log.h"
+#include "tests/support/fake_link_hub.h"
+
+namespace jacinthshift {
+
+using std::chrono::milliseconds;
+
+namespace {
+
+/** A node with the parts that keep its copy of the table. */
+struct TableNode
+{
+    std::uint32_t capacity;
+    FakeLinkTransport transport;
+    FleetNetwork network;
+    OperatorTable table;
+    TableFollower follower;
+    TableSync sync;
+
+    TableNode(FakeLinkHub &hub, FakeKeyedLog &log, std::uint16_t port)
+        : capacity(port)
+        , transport(hub, Endpoint{"127.0.0.1", port})
+        , network({.self = {.node = joinText("a-", port),
+                            .domain = "a",
+                            .links = {"127.0.0.1", port},
+                            .incarnation = 1},
+                   .seed = port},
+                  transport, hub.timers)
+        , follower({.table = "t"}, log, hub.timers, table)
+        , sync({.capacity = capacity, .seed = port}, network, hub.timers, table, follower)
+    {
+        REQUIRE(network.start().ok());
+    }
+
+    void publish()
+    {
+        network.setStatus({.tableEnd = table.end(),
+                           .readsLog = follower.isActive() && follower.isReachable(),
+                           .capacity = capacity},
+                          StatusUrgency::Nobody);
+    }
+};
+
+struct TableMesh
+{
+    ManualTimerService timers;
+    FakeLinkHub hub{timers};
+    FakeKeyedLog log;
+    std::vector<std::unique_ptr<TableNode>> nodes;
+
+    void addNode()
+    {
+        const auto port = static_cast<std::uint16_t>(nodes.size() + 1);
+        nodes.push_back(std::make_unique<TableNode>(hub, log, port));
+        std::vector<NodeContact> contacts;
+        for (const std::unique_ptr<TableNode> &node : nodes)
+            contacts.push_back(node->network.self());
+        for (const std::unique_ptr<TableNode> &node : nodes)
+            node->network.addContacts(contacts);
+        nodes.back()->follower.setActive(true);
+    }
+    void advance(milliseconds time)
+    {
+        for (milliseconds passed(0); passed < time; passed += milliseconds(50)) {
+            timers.advance(milliseconds(50));
+            for (const std::unique_ptr<TableNode> &node : nodes)
+                node->publish();
+        }
+    }
+    std::size_t readers() const
+    {
+        return static_cast<std::size_t>(
+                std::count_if(nodes.begin(), nodes.end(),
+                              [](const auto &node) { return node->follower.isActive(); }));
+    }
+};
+
+} // namespace
+
+TEST_CASE("a herd starts: each node reads the table once, and the readers alone follow it")
+{
+    TableMesh mesh;
+    mesh.log.put("t", "config", "r1");
+    for (int i = 0; i < 8; ++i)
+        mesh.addNode();
+    mesh.advance(milliseconds(4'000));
+    CHECK(mesh.readers() == 2);
+    CHECK(mesh.log.calls <= 8 + 2);
+    mesh.log.put("t", "config", "r2");
+    mesh.advance(milliseconds(1'500));
+    for (const std::unique_ptr<TableNode> &node : mesh.nodes)
+        CHECK(node->table.end() == 2);
+}
+
+TEST_CASE("a node that starts while the log is away has the table from the others")
+{
+    TableMesh mesh;
+    mesh.log.put("t", "config", "r1");
+    for (int i = 0; i < 3; ++i)
+        mesh.addNode();
+    mesh.advance(milliseconds(4'000));
+    mesh.log.down = true;
+    mesh.addNode();
+    mesh.advance(milliseconds(1'500));
+    CHECK(mesh.nodes.back()->table.end() == 1);
+}
+
+} // namespace jacinthshift
--- a/node/contact_book.cpp
+++ b/node/contact_book.cpp
@@ -30,6 +30,17 @@
     m_next = Timer(m_timers, m_timers.startOnce(delay, [this] { read(); }));
 }
 
+void ContactBook::readAgainIfLonely()
+{
+    m_next = Timer(m_timers, m_timers.startOnce(m_options.lonelyPeriod, [this] {
+        const bool linked =
+                std::any_of(m_network.peers().begin(), m_network.peers().end(),
+                            [](const auto &entry) { return !entry.second.links.empty(); });
+        if (!linked)
+            read();
+    }));
+}
+
 void ContactBook::read()
 {
     m_log.readNewest(wire::NodesTable, [this](const absl::StatusOr<KeyedPage> &page) {
@@ -48,11 +59,7 @@
                         {{"key", record.key}, {"reason", std::string(contact.status().message())}});
         }
         m_network.addContacts(contacts);
-        const bool linked =
-                std::any_of(m_network.peers().begin(), m_network.peers().end(),
-                            [](const auto &entry) { return !entry.second.links.empty(); });
-        if (!linked)
-            readAfter(m_options.lonelyPeriod);
+        readAgainIfLonely();
     });
 }
 
--- a/node/contact_book.h
+++ b/node/contact_book.h
@@ -10,7 +10,7 @@
 struct ContactBookOptions
 {
     std::chrono::milliseconds retry{400};
-    /** How often a node without any link looks again. */
+    /** A node that has no link this long after a look looks again. */
     std::chrono::milliseconds lonelyPeriod{1'500};
 };
 
@@ -31,6 +31,7 @@
     void write();
     void read();
     void readAfter(std::chrono::milliseconds delay);
+    void readAgainIfLonely();
 
 public:
     ContactBook(const ContactBookOptions &options, KeyedLog &log, FleetNetwork &network,
