Surges: beside near owners one owner of another failure domain is asked, not each of them

Now a request that near owners refused goes to one far owner; without any near one it may still go to all four. Failed first: 'surge everywhere' in test_forwarder.

--- a/modules/forwarding/forwarder.cpp
+++ b/modules/forwarding/forwarder.cpp
@@ -133,7 +133,10 @@
 
 std::optional<OwnerCandidate> Forwarder::chooseOwner(Request &request)
 {
-    const std::vector<OwnerCandidate> possible = m_owners.candidates(request.ownerQuery());
+    std::vector<OwnerCandidate> possible = m_owners.candidates(request.ownerQuery());
+    const bool askedNear = request.handOvers > request.farHandOvers;
+    if (askedNear && request.farHandOvers >= m_options.farHandOversAfterNear)
+        std::erase_if(possible, [](const OwnerCandidate &owner) { return !owner.sameDomain; });
     const std::optional<std::size_t> best = m_selector.choose(
             possible, SelectionContext{.targetLeft = untilTime(m_timers.now(), request.targetAt),
                                        .routeFactor = routeFactor(request)});
@@ -190,6 +193,7 @@
         return;
     }
     ++request->handOvers;
+    request->farHandOvers += owner->sameDomain ? 0 : 1;
     request->tried.push_back(owner->node);
     request->owner = owner->node;
     request->handedOverAt = m_timers.now();
--- a/modules/forwarding/forwarder.h
+++ b/modules/forwarding/forwarder.h
@@ -30,6 +30,11 @@
     std::uint64_t seed = 0;
     /** Owners that are asked at most; refusals of owners cost no backend server anything. */
     std::uint32_t maxHandOvers = 4;
+    /**
+     * Owners of other failure domains that are asked beside near ones. When the near ones are full
+     * the far ones mostly are, and each costs the whole request in bytes between domains.
+     */
+    std::uint32_t farHandOversAfterNear = 1;
     /** An answer that would come with less than this part of the usual service time is not tried.
      */
     std::chrono::milliseconds leastTimeForRetry{60};
@@ -71,7 +76,8 @@
         std::string leftOut; ///< Why no further owner could be asked.
         std::vector<std::string> tried;
         std::uint32_t handOvers = 0;
-        std::uint32_t reached = 0; ///< Backend servers that bytes of it were sent to.
+        std::uint32_t farHandOvers = 0; ///< Those to other failure domains.
+        std::uint32_t reached = 0;      ///< Backend servers that bytes of it were sent to.
         bool mayHaveRun = false;
         SteadyTime handedOverAt;
         std::string owner; ///< Where it is now; empty between two tries.
--- a/modules/forwarding/tests/test_forwarder.cpp
+++ b/modules/forwarding/tests/test_forwarder.cpp
@@ -129,6 +129,27 @@
     }
 };
 
+/** An owner in another failure domain. */
+struct FarOwner
+{
+    FakeLinkTransport transport;
+    FleetNetwork network;
+    ScriptedOwner owner;
+    CallServer server;
+
+    FarOwner(ForwarderBench &bench, const std::string &name, std::uint16_t port)
+        : transport(bench.hub, {"127.0.0.1", port})
+        , network({.self = {.node = name, .domain = "e", .links = {"127.0.0.1", port}}}, transport,
+                  bench.timers)
+        , server({}, network, bench.timers, owner)
+    {
+        REQUIRE(network.start().ok());
+        network.setStatus({.backend = owner.state}, StatusUrgency::Nobody);
+        bench.network.addContacts({network.self()});
+        bench.timers.advance(milliseconds(500));
+    }
+};
+
 WorkResult done(int status)
 {
     return {.verdict = Verdict::Done, .reachedBackend = true, .response = {.status = status}};
@@ -174,6 +195,29 @@
     CHECK(findHeader(answer->response->headers, "Retry-After") == "0.120");
 }
 
+TEST_CASE("surge everywhere: one owner of another failure domain is asked, not each of them")
+{
+    ForwarderBench bench;
+    FarOwner first(bench, "far-1", 3);
+    FarOwner second(bench, "far-2", 4);
+    bench.scriptBoth(full);
+    first.owner.answers.assign(4, full);
+    second.owner.answers.assign(4, full);
+    const auto answer = bench.send("/write/1");
+    bench.timers.advance(milliseconds(50));
+    CHECK(answer->response->status == 503);
+    CHECK(bench.tries() == 2);
+    CHECK(first.owner.works.size() + second.owner.works.size() == 1);
+    // Without any near owner all that there are may be asked.
+    bench.local.state.availability = BackendAvailability::Draining;
+    bench.remoteOwner.state.availability = BackendAvailability::Draining;
+    bench.farNetwork.setStatus({.backend = bench.remoteOwner.state}, StatusUrgency::Everywhere);
+    bench.timers.advance(milliseconds(10));
+    bench.send("/write/2");
+    bench.timers.advance(milliseconds(50));
+    CHECK(first.owner.works.size() + second.owner.works.size() == 3);
+}
+
 TEST_CASE("a backend server's own error is passed on unchanged when there is no better answer")
 {
     ForwarderBench bench;
