--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -61,6 +61,7 @@
                     .service = options.service,
                     .target = request.target,
                     .callerService = std::string(findHeader(request.headers, names.callerService)),
+                    .node = options.node,
                     .left = std::chrono::milliseconds(left),
                     .at = now});
 }
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -64,6 +64,7 @@
     std::string service;
     std::string target;
     std::string callerService;
+    std::size_t node = 0;               ///< The one beside the backend server.
     std::chrono::milliseconds left{-1}; ///< The time that it was given; -1 for none.
     SteadyTime at;
 };
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -109,6 +109,7 @@
         node->backend =
                 std::make_unique<SoakBackend>(SoakBackendOptions{.service = node->service,
                                                                  .domain = node->domain,
+                                                                 .node = i,
                                                                  .listen = {node->address, 9000},
                                                                  .control = node->control(),
                                                                  .seed = m_options.seed + i},
--- a/tests/soak/soak_backend.h
+++ b/tests/soak/soak_backend.h
@@ -20,6 +20,7 @@
 {
     std::string service;
     std::string domain;
+    std::size_t node = 0; ///< The number of the node beside it.
     Endpoint listen;
     Endpoint control; ///< Where the node beside it takes heartbeats.
     std::uint32_t slots = 8;
