Read again: one link configuration, no dead fetch source, one test of nearness

Both WebSocket configurations differed in their base only: one template. TableSync kept the node that it fetched from although nothing asks for it any more. Three places compared failure domains by hand that FleetNetwork::isNear() compares; it is public now. hasRead() says what it tells. No change of behaviour.

--- a/drivers/websocket/websocket_session.cpp
+++ b/drivers/websocket/websocket_session.cpp
@@ -35,20 +35,15 @@
 // A frame is some hundred bytes; the library's 16 KB for each connection would stay empty.
 constexpr std::size_t ReadBufferBytes = 4 * 1024;
 
-struct ServerConfig : websocketpp::config::core
+template <typename Base>
+struct LinkConfig : Base
 {
     static const std::size_t connection_read_buffer_size = ReadBufferBytes; // NOLINT
     using permessage_deflate_type = LinkDeflate;
 };
 
-struct ClientConfig : websocketpp::config::core_client
-{
-    static const std::size_t connection_read_buffer_size = ReadBufferBytes; // NOLINT
-    using permessage_deflate_type = LinkDeflate;
-};
-
-using Server = websocketpp::server<ServerConfig>;
-using Client = websocketpp::client<ClientConfig>;
+using Server = websocketpp::server<LinkConfig<websocketpp::config::core>>;
+using Client = websocketpp::client<LinkConfig<websocketpp::config::core_client>>;
 
 constexpr const char *Subprotocol = "jacinthshift.v1";
 
--- a/modules/feed/table_follower.h
+++ b/modules/feed/table_follower.h
@@ -53,7 +53,7 @@
     /** Starts or stops reading. A read under way is still merged. */
     void setActive(bool active);
     bool isActive() const { return m_active; }
-    /** Returns whether the whole table was read since the start. */
+    /** Returns whether a read was answered since the start. */
     bool hasRead() const { return m_hasRead; }
     /** Returns whether the last read was answered. */
     bool isReachable() const { return m_reachable; }
--- a/modules/feed/table_sync.cpp
+++ b/modules/feed/table_sync.cpp
@@ -36,7 +36,7 @@
     std::size_t better = 0;
     for (const auto &[node, peer] : m_network.peers()) {
         const bool reads = m_network.isReachable(peer) && peer.hasStatus && peer.status.readsLog
-                           && !peer.status.leaving && peer.contact.domain == self.domain;
+                           && !peer.status.leaving && m_network.isNear(peer);
         if (reads && rank(peer.status.capacity, node) > own)
             ++better;
     }
@@ -51,13 +51,12 @@
 
 const FleetPeer *TableSync::fetchSource()
 {
-    const std::string &domain = m_network.self().domain;
     std::vector<const FleetPeer *> near;
     std::vector<const FleetPeer *> far;
     for (const auto &[node, peer] : m_network.peers()) {
         const bool ahead = m_network.isReachable(peer) && peer.status.tableEnd > m_table.end();
         if (ahead)
-            (peer.contact.domain == domain ? near : far).push_back(&peer);
+            (m_network.isNear(peer) ? near : far).push_back(&peer);
     }
     // Any near node that is ahead will do, so what one has learnt spreads without a hot spot.
     const std::vector<const FleetPeer *> &sources = near.empty() ? far : near;
@@ -85,8 +84,7 @@
         return;
     m_fetching = true;
     m_fetchedAt = m_timers.now();
-    m_fetchedFrom = source->contact.node;
-    m_network.send(m_fetchedFrom, TableFetchMessage{.from = m_table.end()});
+    m_network.send(source->contact.node, TableFetchMessage{.from = m_table.end()});
 }
 
 const std::string &TableSync::packedSince(std::uint64_t offset)
--- a/modules/feed/table_sync.h
+++ b/modules/feed/table_sync.h
@@ -43,7 +43,6 @@
     SteadyTime m_startedAt;
     SteadyTime m_behindSince;
     SteadyTime m_fetchedAt;
-    std::string m_fetchedFrom;
     Random m_random;
     std::uint64_t m_packedFrom = 0; ///< What m_packed was packed for.
     std::uint64_t m_packedEnd = 0;
--- a/modules/fleet/fleet_network.h
+++ b/modules/fleet/fleet_network.h
@@ -116,7 +116,6 @@
     void greeted(LinkId link, const GreetingMessage &greeting);
     std::chrono::milliseconds silenceLimit() const;
     void fetchContacts();
-    bool isNear(const FleetPeer &peer) const;
     bool transmit(LinkId link, const FleetPeer &peer, const FleetMessage &message,
                   const std::string &frame);
 
@@ -142,6 +141,8 @@
     std::chrono::milliseconds heartbeatPeriod() const;
     const std::map<std::string, FleetPeer> &peers() const { return m_peers; }
     const FleetPeer *peer(const std::string &node) const;
+    /** Returns whether a node is in the failure domain of this one. */
+    bool isNear(const FleetPeer &peer) const;
     /** Returns whether a node has a link that is not silent. */
     bool isReachable(const FleetPeer &peer) const { return !peer.links.empty() && !peer.silent; }
     /** Returns what was sent of a kind of message, to other failure domains or within the own. */
--- a/modules/forwarding/owner_directory.cpp
+++ b/modules/forwarding/owner_directory.cpp
@@ -85,11 +85,11 @@
         if (obstacle(entry, query, anyVersion) != Obstacle::None)
             return;
         const bool local = entry.peer == nullptr;
-        found.push_back(OwnerCandidate{
-                .node = entry.node,
-                .sameDomain = local || entry.peer->contact.domain == m_network.self().domain,
-                .backend = entry.backend,
-                .outstanding = local ? 0 : m_remote.outstanding(entry.node)});
+        found.push_back(
+                OwnerCandidate{.node = entry.node,
+                               .sameDomain = local || m_network.isNear(*entry.peer),
+                               .backend = entry.backend,
+                               .outstanding = local ? 0 : m_remote.outstanding(entry.node)});
     });
     return found;
 }
