Read again: soak and mesh bench without state that can be derived

The loopback prefix comes from its reservation and whether the store is down from the store; both were kept twice. A take-out is entered once with its open end. The checks and the plan are unchanged.

--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -70,7 +70,6 @@
 
 Soak::Soak(const SoakOptions &options)
     : m_options(options)
-    , m_prefix(m_network.prefix())
     , m_store(m_timers)
     , m_random(options.seed)
     , m_faults(drawFaults(options.seed, options.length))
@@ -92,7 +91,7 @@
 
 std::string Soak::domainPrefix(std::size_t domain) const
 {
-    return joinText(m_prefix, ".", domain + 1, ".");
+    return joinText(m_network.prefix(), ".", domain + 1, ".");
 }
 
 void Soak::addNodes()
@@ -126,9 +125,9 @@
          << "\n  readiness: " << node.readiness().text() << "\n  control: " << node.control().text()
          << "\n  links: " << node.links().text()
          << "\n  advertised_links: " << node.advertisedLinks().text()
-         << "\n  metrics: " << node.metrics().text() << "\nplatform:\n  store: " << m_prefix
-         << ".250.1:6001\nseeds: [" << m_nodes[0]->control().text() << ", "
-         << m_nodes[1]->control().text()
+         << "\n  metrics: " << node.metrics().text()
+         << "\nplatform:\n  store: " << m_network.prefix() << ".250.1:6001\nseeds: ["
+         << m_nodes[0]->control().text() << ", " << m_nodes[1]->control().text()
          << "]\nlimits:\n  grace_seconds: 6\n  retry_ratio: " << m_bounds.retryRatio
          << "\n  retry_slack: " << m_bounds.retrySlack
          << "\n  retry_window_seconds: 10\n  cold_factor: " << m_bounds.coldFactor
@@ -137,16 +136,16 @@
 
 absl::Status Soak::startPlatform()
 {
-    const Endpoint store{m_prefix + ".250.1", 6000};
-    std::string routes = joinText(m_prefix, ".250.1:6001=", store.text());
+    const Endpoint store{m_network.prefix() + ".250.1", 6000};
+    std::string routes = joinText(m_network.prefix(), ".250.1:6001=", store.text());
     for (const std::unique_ptr<SoakNode> &node : m_nodes)
         routes += joinText(",", node->advertisedLinks().text(), "=", node->links().text());
     const absl::Status listening = m_store.listen(store);
     if (!listening.ok())
         return listening;
-    const std::vector<std::string> command = {m_options.binaries + "/standin_network_relay",
-                                              joinText("--control=", m_prefix, ".251.1:6100"),
-                                              "--routes=" + routes};
+    const std::vector<std::string> command = {
+            m_options.binaries + "/standin_network_relay",
+            joinText("--control=", m_network.prefix(), ".251.1:6100"), "--routes=" + routes};
     if (!m_relay.start(command, m_directory + "/network_relay.out"))
         return absl::InternalError("the network relay does not start");
     pause(std::chrono::milliseconds(200));
@@ -276,8 +275,8 @@
     m_store.put(wire::OperatorTable, key, out ? "{}" : "");
     const SteadyTime now = m_timers.now();
     if (out) {
-        m_ledger.takeOuts.push_back(TakeOut{.domain = domain, .from = now, .until = now});
-        m_ledger.takeOuts.back().until = SteadyTime::max();
+        m_ledger.takeOuts.push_back(
+                TakeOut{.domain = domain, .from = now, .until = SteadyTime::max()});
         return;
     }
     for (TakeOut &one : m_ledger.takeOuts) {
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -79,7 +79,6 @@
     SoakOptions m_options;
     PromiseBounds m_bounds;
     LoopbackNetwork m_network;
-    std::string m_prefix; ///< The first two numbers of all addresses.
     std::string m_directory;
     GlibTimerService m_timers;
     BeastHttpClient m_http{BeastHttpClientOptions{.maxIdlePerServer = 32}};
@@ -102,7 +101,6 @@
     double m_owed = 0.0; ///< Requests that are due and not sent.
     SteadyTime m_startedAt;
     SteadyTime m_lastTick;
-    bool m_storeDown = false;
     Timer m_ticker;
     Timer m_prober;
 
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -141,12 +141,8 @@
     disturb(fault, std::nullopt);
     switch (fault.kind) {
     case FaultKind::StoreDown:
-        m_storeDown = true;
         m_store.setDown(true);
-        later(fault.duration, [this] {
-            m_storeDown = false;
-            m_store.setDown(false);
-        });
+        later(fault.duration, [this] { m_store.setDown(false); });
         break;
     case FaultKind::StoreSlow:
         m_store.setDelay(StoreDelay);
@@ -162,7 +158,7 @@
     default:
         heldUntil(fault, m_cuts,
                   {{"from", m_nodes[fault.target % m_nodes.size()]->address},
-                   {"to", m_prefix + ".250."}});
+                   {"to", m_network.prefix() + ".250."}});
         break;
     }
 }
@@ -193,7 +189,7 @@
         return;
     m_relayBusy = true;
     const std::string body = std::exchange(m_relayOrder, json::object()).dump();
-    m_http.send(HttpSendOptions{.server = {m_prefix + ".251.1", 6100}},
+    m_http.send(HttpSendOptions{.server = {m_network.prefix() + ".251.1", 6100}},
                 HttpRequest{.method = "POST", .target = "/control", .body = body},
                 [this](const HttpResult &result) {
                     if (result.verdict != Verdict::Done)
@@ -284,7 +280,7 @@
         break;
     case FaultKind::TakeOutDomain:
         // The operator's calls are not answered while the store is down.
-        if (m_storeDown)
+        if (m_store.isDown())
             break;
         disturb(fault, std::nullopt);
         takeOut(domain, true);
@@ -293,13 +289,13 @@
     case FaultKind::ConfigStorm:
         for (int i = 1; i < 8; ++i)
             later(StormGap * i, [this] {
-                if (!m_storeDown)
+                if (!m_store.isDown())
                     publishConfig();
             });
         [[fallthrough]];
     default:
         disturb(fault, std::nullopt);
-        if (!m_storeDown)
+        if (!m_store.isDown())
             publishConfig();
         break;
     }
--- a/tests/soak/soak_store.h
+++ b/tests/soak/soak_store.h
@@ -75,6 +75,7 @@
     std::string value(const std::string &table, const std::string &key) const;
 
     void setDown(bool down) { m_down = down; }
+    bool isDown() const { return m_down; }
     void setLoseAnswers(bool lose) { m_loseAnswers = lose; }
     void setDelay(std::chrono::milliseconds delay) { m_delay = delay; }
     /** Drops all records but the newest of each key. */
--- a/tests/support/mesh_bench.cpp
+++ b/tests/support/mesh_bench.cpp
@@ -14,20 +14,19 @@
 
 MeshBench::MeshBench(std::string binaries, const std::vector<VmPlan> &plans,
                      std::string extraSettings)
-    : m_binaries(std::move(binaries))
-    , m_prefix(m_network.prefix())
-    , m_extraSettings(std::move(extraSettings))
+    : m_binaries(std::move(binaries)), m_extraSettings(std::move(extraSettings))
 {
     m_directory =
             joinText(std::filesystem::temp_directory_path().string(), "/jacinthshift-", getpid());
     std::filesystem::remove_all(m_directory);
     std::filesystem::create_directories(m_directory);
-    m_domainPrefixes["platform"] = m_prefix + ".250.";
+    m_domainPrefixes["platform"] = m_network.prefix() + ".250.";
     std::map<std::string, int> sizes;
     std::vector<std::string> seeds;
     for (const VmPlan &plan : plans) {
         if (!m_domainPrefixes.contains(plan.domain))
-            m_domainPrefixes[plan.domain] = joinText(m_prefix, ".", m_domainPrefixes.size(), ".");
+            m_domainPrefixes[plan.domain] =
+                    joinText(m_network.prefix(), ".", m_domainPrefixes.size(), ".");
         std::unique_ptr<Vm> vm = std::make_unique<Vm>();
         vm->plan = plan;
         vm->address = joinText(m_domainPrefixes[plan.domain], ++sizes[plan.domain]);
@@ -57,7 +56,8 @@
          << "\nmesh: bench\nlisten:\n  callers: " << vm.callers().text()
          << "\n  links: " << vm.links().text() << "\n  local: " << vm.local().text()
          << "\n  advertised_links: " << vm.advertisedLinks().text()
-         << "\nplatform:\n  log: " << Endpoint{m_prefix + ".250.1", 6001}.text() << "\nseeds: [";
+         << "\nplatform:\n  log: " << Endpoint{m_network.prefix() + ".250.1", 6001}.text()
+         << "\nseeds: [";
     for (std::size_t i = 0; i < seeds.size(); ++i)
         file << (i == 0 ? "" : ", ") << seeds[i];
     file << "]\n" << m_extraSettings;
@@ -78,7 +78,8 @@
 
 std::string MeshBench::relayRoutes() const
 {
-    std::string routes = joinText(Endpoint{m_prefix + ".250.1", 6001}.text(), "=", log().text());
+    std::string routes =
+            joinText(Endpoint{m_network.prefix() + ".250.1", 6001}.text(), "=", log().text());
     for (const auto &[name, vm] : m_vms)
         routes += joinText(",", vm->advertisedLinks().text(), "=", vm->links().text());
     return routes;
--- a/tests/support/mesh_bench.h
+++ b/tests/support/mesh_bench.h
@@ -48,7 +48,6 @@
     std::string m_directory;
     std::string m_binaries;
     LoopbackNetwork m_network;
-    std::string m_prefix; ///< The first two numbers of all addresses.
     std::map<std::string, std::unique_ptr<Vm>> m_vms;
     std::map<std::string, std::string> m_domainPrefixes;
     std::string m_extraSettings;
@@ -74,8 +73,8 @@
     bool hasVm(const std::string &name) const { return m_vms.contains(name); }
     /** Returns the start of all addresses of a failure domain, or of the platform. */
     std::string addressPrefix(const std::string &domain) const;
-    Endpoint log() const { return {m_prefix + ".250.1", 6000}; }
-    Endpoint relayControl() const { return {m_prefix + ".251.1", 6100}; }
+    Endpoint log() const { return {m_network.prefix() + ".250.1", 6000}; }
+    Endpoint relayControl() const { return {m_network.prefix() + ".251.1", 6100}; }
 
     /** Removes the bench's files when it ends; without it they stay to be looked at. */
     void discardFiles() { m_discard = true; }
