Left-out owners: the limit on other failure domains is the directory's, and told

The forwarder removed far owners from the directory's list after the fact, so left_out, which the directory writes, did not say why a free owner of another failure domain was not asked. The query says nearOnly now, and the directory both leaves them out and names them. The choice is the same. The test of left-out owners has the case.

--- a/modules/forwarding/forwarder.cpp
+++ b/modules/forwarding/forwarder.cpp
@@ -131,12 +131,18 @@
             request.arrivedAt + std::clamp(target - spent, std::chrono::milliseconds(0), timeout);
 }
 
-std::optional<OwnerCandidate> Forwarder::chooseOwner(Request &request)
+OwnerQuery Forwarder::ownerQuery(const Request &request) const
 {
-    std::vector<OwnerCandidate> possible = m_owners.candidates(request.ownerQuery());
     const bool askedNear = request.handOvers > request.farHandOvers;
-    if (askedNear && request.farHandOvers >= m_options.farHandOversAfterNear)
-        std::erase_if(possible, [](const OwnerCandidate &owner) { return !owner.sameDomain; });
+    return {.service = request.service,
+            .version = request.version,
+            .tried = request.tried,
+            .nearOnly = askedNear && request.farHandOvers >= m_options.farHandOversAfterNear};
+}
+
+std::optional<OwnerCandidate> Forwarder::chooseOwner(Request &request)
+{
+    const std::vector<OwnerCandidate> possible = m_owners.candidates(ownerQuery(request));
     const std::optional<std::size_t> best = m_selector.choose(
             possible, SelectionContext{.targetLeft = untilTime(m_timers.now(), request.targetAt),
                                        .routeFactor = routeFactor(request)});
@@ -314,7 +320,7 @@
     }
     const bool known = request->handOvers > 0;
     if (request->handOvers < m_options.maxHandOvers)
-        request->leftOut = m_owners.leftOut(request->ownerQuery());
+        request->leftOut = m_owners.leftOut(ownerQuery(*request));
     const std::string_view reason = known ? refusalName(request->lastRefusal) : "no-owner";
     const std::chrono::milliseconds hint =
             request->retryHint.count() > 0 ? request->retryHint : m_options.retryWithoutOwner;
--- a/modules/forwarding/forwarder.h
+++ b/modules/forwarding/forwarder.h
@@ -86,11 +86,6 @@
         WorkRefusal lastRefusal = WorkRefusal::None;
         std::unique_ptr<HttpResponse> failedAnswer; ///< A backend server's error, kept for the end.
         Timer timeout;
-
-        OwnerQuery ownerQuery() const
-        {
-            return {.service = service, .version = version, .tried = tried};
-        }
     };
     using RequestPointer = std::shared_ptr<Request>;
 
@@ -113,6 +108,7 @@
 
     bool admit(const RequestPointer &request);
     void setTimes(Request &request, const TrafficRoute &route);
+    OwnerQuery ownerQuery(const Request &request) const;
     std::optional<OwnerCandidate> chooseOwner(Request &request);
     void tryNext(const RequestPointer &request);
     void noteTry(Request &request, const WorkResult &result) const;
--- a/modules/forwarding/owner_directory.cpp
+++ b/modules/forwarding/owner_directory.cpp
@@ -38,6 +38,8 @@
         return "runs another version";
     case Obstacle::Tried:
         return "tried";
+    case Obstacle::Far:
+        return "in another failure domain";
     }
     return "";
 }
@@ -99,6 +101,8 @@
     std::vector<OwnerCandidate> found = find(query, false);
     if (found.empty() && query.version.mayFallBack)
         found = find(query, true);
+    if (query.nearOnly)
+        std::erase_if(found, [](const OwnerCandidate &owner) { return !owner.sameDomain; });
     return found;
 }
 
@@ -107,7 +111,10 @@
     std::string text;
     std::size_t count = 0;
     forEach([&](const Entry &entry) {
-        const Obstacle reason = obstacle(entry, query, query.version.mayFallBack);
+        Obstacle reason = obstacle(entry, query, query.version.mayFallBack);
+        const bool far = entry.peer != nullptr && !m_network.isNear(*entry.peer);
+        if (reason == Obstacle::None && query.nearOnly && far)
+            reason = Obstacle::Far;
         if (reason == Obstacle::None || reason == Obstacle::OtherService || ++count > MostNamed)
             return;
         text += joinText(text.empty() ? "" : ", ", entry.node, " ", obstacleName(reason));
--- a/modules/forwarding/owner_directory.h
+++ b/modules/forwarding/owner_directory.h
@@ -19,6 +19,7 @@
     const std::string &service;
     const VersionChoice &version;
     const std::vector<std::string> &tried; ///< Nodes that were asked already.
+    bool nearOnly = false;                 ///< Whether only the own failure domain is asked.
 };
 
 /** What this node knows of the owners of a service, its own one among them. */
@@ -37,6 +38,7 @@
         Braked,
         OtherVersion,
         Tried,
+        Far, ///< In another failure domain, of which enough were asked.
     };
     struct Entry
     {
--- a/modules/forwarding/tests/test_forwarder.cpp
+++ b/modules/forwarding/tests/test_forwarder.cpp
@@ -288,6 +288,13 @@
     bench.farNetwork.setStatus({.backend = bench.remoteOwner.state}, StatusUrgency::Everywhere);
     bench.timers.advance(milliseconds(10));
     CHECK(directory.leftOut(query).find("other draining (") != std::string::npos);
+    FarOwner far(bench, "far-1", 3);
+    const VersionChoice anyVersion;
+    OwnerQuery near{.service = service, .version = anyVersion, .tried = tried};
+    CHECK(directory.leftOut(near).find("far-1") == std::string::npos);
+    near.nearOnly = true;
+    CHECK(directory.candidates(near).empty());
+    CHECK(directory.leftOut(near).find("far-1 in another failure domain") != std::string::npos);
     const std::string unknown = "x";
     CHECK(directory.leftOut({.service = unknown, .version = version, .tried = tried})
           == "no owner of the service is known");
