Log: how long the store has not answered, and why

LogLost said 'the store cannot be reached' for a read that was sent and never answered, and no line or metric told for how long, so a reader on a dead connection looked like one that waits for the next change. The lines and the metric log_answer_age_ms now tell the age of the last answer.

--- a/modules/feed/table_follower.cpp
+++ b/modules/feed/table_follower.cpp
@@ -14,6 +14,7 @@
     , m_timers(timers)
     , m_table(table)
     , m_retryDelay(options.initialRetryDelay)
+    , m_answeredAt(timers.now())
 {
 }
 
@@ -30,6 +31,11 @@
     read();
 }
 
+std::chrono::milliseconds TableFollower::answerAge() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_timers.now() - m_answeredAt);
+}
+
 void TableFollower::readAfter(std::chrono::milliseconds delay)
 {
     m_readTimer = Timer(m_timers, m_timers.startOnce(delay, [this] { read(); }));
@@ -75,6 +81,7 @@
         return;
     }
     setReachable(true, "");
+    m_answeredAt = m_timers.now();
     m_retryDelay = m_options.initialRetryDelay;
     m_needsWholeTable = false;
     const bool isFirstRead = !std::exchange(m_hasRead, true);
@@ -101,9 +108,13 @@
         return;
     m_reachable = reachable;
     if (reachable)
-        logEvent(Event::LogRegained, {{"table", m_options.table}, {"end", m_table.end()}});
+        logEvent(Event::LogRegained, {{"table", m_options.table},
+                                      {"end", m_table.end()},
+                                      {"unanswered_ms", answerAge().count()}});
     else
-        logEvent(Event::LogLost, {{"table", m_options.table}, {"reason", reason}});
+        logEvent(Event::LogLost, {{"table", m_options.table},
+                                  {"reason", reason},
+                                  {"unanswered_ms", answerAge().count()}});
 }
 
 } // namespace jacinthshift
--- a/modules/feed/table_follower.h
+++ b/modules/feed/table_follower.h
@@ -41,6 +41,7 @@
     bool m_active = false;
     bool m_needsWholeTable = true;
     bool m_reachable = false; ///< Whether the log answered the last read.
+    SteadyTime m_answeredAt;  ///< When the log last answered a read; initially the construction.
 
     void read();
     void readWholeTable();
@@ -61,6 +62,8 @@
     bool hasRead() const { return m_hasRead; }
     /** Returns whether the log answered the last read. */
     bool isReachable() const { return m_reachable; }
+    /** Returns the time since the log last answered a read. */
+    std::chrono::milliseconds answerAge() const;
 };
 
 } // namespace jacinthshift
--- a/node/mesh_metrics.cpp
+++ b/node/mesh_metrics.cpp
@@ -38,6 +38,7 @@
     appendMetric("config_version", sources.configVersion);
     appendMetric("operator_table_end", sources.table.end());
     appendMetric("log_reachable", sources.follower.isReachable() ? 1 : 0);
+    appendMetric("log_answer_age_ms", sources.follower.answerAge().count());
     appendMetric("peers_known", network.peers().size());
     appendMetric("peers_reachable", reachable);
     appendMetric("caller_connections", sources.callerConnections);
