Feed: bound how long a reader waits for the store's answer

A connection that carries nothing more looks like a table without changes, and the keep-alive that the option's comment relied on was part of an HTTP client that is no longer used here. A change restarts all readers' polls together, so all readers waited in vain at the same time: LogLost came 4.5 s after the connections went silent, on eight readers within 0.2 s, and the version 0.02 s after LogRegained.

The follower itself now bounds each read: 1 s of long poll and 0.8 s for the answer, then it reads anew, and the first read after a failure does not wait for a record, so it shows at once whether the log is back. The answer may take up to 1.5 s while reads stay unanswered, as a slow store would otherwise never be heard. Late answers are still merged.

The two new tests of silence failed before (no read within 2 s, nor after any of five outages); all unit tests pass. The fixture of test_table_sync sets the long poll it relied on; its checks stay.

--- a/modules/feed/table_follower.cpp
+++ b/modules/feed/table_follower.cpp
@@ -14,6 +14,7 @@
     , m_timers(timers)
     , m_table(table)
     , m_retryDelay(options.initialRetryDelay)
+    , m_answerTimeout(options.answerTimeout)
     , m_answeredAt(timers.now())
 {
 }
@@ -23,8 +24,8 @@
     if (m_active == active)
         return;
     m_active = active;
-    m_readTimer.stop();
-    ++m_activation;
+    m_timer.stop();
+    ++m_currentRead;
     if (!active)
         return;
     m_needsWholeTable = m_table.end() == 0;
@@ -38,34 +39,38 @@
 
 void TableFollower::readAfter(std::chrono::milliseconds delay)
 {
-    m_readTimer = Timer(m_timers, m_timers.startOnce(delay, [this] { read(); }));
+    m_timer = Timer(m_timers, m_timers.startOnce(delay, [this] { read(); }));
 }
 
 void TableFollower::read()
 {
-    m_readTimer.stop();
-    if (m_needsWholeTable) {
-        readWholeTable();
+    const std::uint64_t read = ++m_currentRead;
+    const bool isWholeTable = m_needsWholeTable;
+    // The first read after a failure is answered at once, which shows whether the log is back.
+    const bool waits = m_reachable && !isWholeTable;
+    const std::chrono::milliseconds wait =
+            waits ? m_options.longPollWait : std::chrono::milliseconds(0);
+    m_timer = Timer(m_timers,
+                    m_timers.startOnce(wait + m_answerTimeout, [this] { readUnanswered(); }));
+    const auto callback = [this, read, isWholeTable](const absl::StatusOr<KeyedPage> &page) {
+        readFinished(read, page, isWholeTable);
+    };
+    if (isWholeTable) {
+        m_log.readNewest(m_options.table, callback);
         return;
     }
-    const KeyedReadRequest request{.table = m_options.table,
-                                   .fromOffset = m_table.end(),
-                                   .maxWait = m_options.longPollWait};
-    m_log.readFrom(request,
-                   [this, activation = m_activation](const absl::StatusOr<KeyedPage> &page) {
-                       readFinished(activation, page, false);
-                   });
+    m_log.readFrom({.table = m_options.table, .fromOffset = m_table.end(), .maxWait = wait},
+                   callback);
 }
 
-void TableFollower::readWholeTable()
+void TableFollower::readUnanswered()
 {
-    m_log.readNewest(m_options.table,
-                     [this, activation = m_activation](const absl::StatusOr<KeyedPage> &page) {
-                         readFinished(activation, page, true);
-                     });
+    ++m_currentRead;
+    m_answerTimeout = std::min(m_answerTimeout * 2, m_options.maxAnswerTimeout);
+    readFailed(absl::DeadlineExceededError("the log did not answer in time"));
 }
 
-void TableFollower::readFinished(std::uint64_t activation, const absl::StatusOr<KeyedPage> &page,
+void TableFollower::readFinished(std::uint64_t read, const absl::StatusOr<KeyedPage> &page,
                                  bool isWholeTable)
 {
     if (page.ok()) {
@@ -74,7 +79,7 @@
         else
             m_table.merge(*page);
     }
-    if (activation != m_activation || !m_active)
+    if (read != m_currentRead)
         return;
     if (!page.ok()) {
         readFailed(page.status());
@@ -83,6 +88,7 @@
     setReachable(true, "");
     m_answeredAt = m_timers.now();
     m_retryDelay = m_options.initialRetryDelay;
+    m_answerTimeout = m_options.answerTimeout;
     m_needsWholeTable = false;
     const bool isFirstRead = !std::exchange(m_hasRead, true);
     readAfter(isFirstRead ? m_options.firstReadPause : m_options.readPause);
--- a/modules/feed/table_follower.h
+++ b/modules/feed/table_follower.h
@@ -15,28 +15,40 @@
 {
     std::string table; ///< Name of the table in the log.
     /**
-     * How long the log holds a read open without new records (long poll). A dead connection is
-     * detected by the client's keep-alive.
+     * How long the log holds a read open without new records (long poll). A connection that went
+     * silent is noticed after this time and answerTimeout, so it is much shorter than the time
+     * within which a change has to be in force.
      */
-    std::chrono::milliseconds longPollWait{25'000};
+    std::chrono::milliseconds longPollWait{1'000};
+    /**
+     * How long an answer may take, in addition to longPollWait, before the log is read again on
+     * another connection. Doubles with each unanswered read, as the log may be slow.
+     */
+    std::chrono::milliseconds answerTimeout{800};
+    std::chrono::milliseconds maxAnswerTimeout{1'500};
     /** Delay between two reads, so that changes in quick succession cost one read. */
     std::chrono::milliseconds readPause{120};
     /** Delay after the first read. By then a node knows whether other nodes read the table. */
     std::chrono::milliseconds firstReadPause{500};
     std::chrono::milliseconds initialRetryDelay{150};
-    std::chrono::milliseconds maxRetryDelay{1'000};
+    std::chrono::milliseconds maxRetryDelay{500};
 };
 
-/** Keeps an operator table up to date from the log while it is active. */
+/**
+ * Keeps an operator table up to date from the log while it is active. No read is waited for longer
+ * than a bounded time, since a connection may stay open and carry nothing more.
+ */
 class TableFollower
 {
     TableFollowerOptions m_options;
     KeyedLog &m_log;
     TimerService &m_timers;
     OperatorTable &m_table;
-    Timer m_readTimer;
-    std::chrono::milliseconds m_retryDelay; ///< Doubles with each failed read.
-    std::uint64_t m_activation = 0; ///< Incremented by setActive(); late results are only merged.
+    Timer m_timer; ///< Until the next read, or until the current one counts as unanswered.
+    std::chrono::milliseconds m_retryDelay;    ///< Doubles with each failed read.
+    std::chrono::milliseconds m_answerTimeout; ///< Doubles with each unanswered read.
+    /** Number of the current read. The result of an earlier one is only merged. */
+    std::uint64_t m_currentRead = 0;
     bool m_hasRead = false;
     bool m_active = false;
     bool m_needsWholeTable = true;
@@ -44,9 +56,8 @@
     SteadyTime m_answeredAt;  ///< When the log last answered a read; initially the construction.
 
     void read();
-    void readWholeTable();
-    void readFinished(std::uint64_t activation, const absl::StatusOr<KeyedPage> &page,
-                      bool isWholeTable);
+    void readFinished(std::uint64_t read, const absl::StatusOr<KeyedPage> &page, bool isWholeTable);
+    void readUnanswered();
     void readFailed(const absl::Status &status);
     void setReachable(bool reachable, const std::string &reason);
     void readAfter(std::chrono::milliseconds delay);
--- a/modules/feed/tests/test_table_follower.cpp
+++ b/modules/feed/tests/test_table_follower.cpp
@@ -68,6 +68,52 @@
     CHECK(removed == std::vector<std::string>{"evacuate/a"});
 }
 
+// Guards against configurations that are not in force in time because a reader waits on a
+// connection that will carry no answer.
+TEST_CASE("a follower whose long poll is never answered reads a change within two seconds")
+{
+    FollowerFixture fixture;
+    fixture.log.put("t", "config", "r1");
+    fixture.follower.setActive(true);
+    fixture.timers.advance(milliseconds(700));
+    fixture.log.losePendingReads();
+    fixture.log.put("t", "config", "r2");
+    fixture.timers.advance(milliseconds(2'000));
+    CHECK(fixture.table.end() == 2);
+}
+
+// Guards against readers that are still waiting for an answer from before an outage of the store
+// when nodes have to apply changes again, 3 s after its end.
+TEST_CASE("a follower reads a change soon after the end of an outage without answers")
+{
+    FollowerFixture fixture;
+    fixture.log.put("t", "config", "r1");
+    fixture.follower.setActive(true);
+    const milliseconds outage(GENERATE(900, 2'300, 4'000, 6'900, 12'000));
+    fixture.timers.advance(milliseconds(700));
+    fixture.log.losePendingReads();
+    fixture.log.silent = true;
+    fixture.timers.advance(outage);
+    fixture.log.silent = false;
+    fixture.log.put("t", "config", "r2");
+    fixture.timers.advance(milliseconds(2'000));
+    CHECK(fixture.table.end() == 2);
+    CHECK(fixture.follower.isReachable());
+}
+
+TEST_CASE("a follower that starts during an outage without answers reads the table after its end")
+{
+    FollowerFixture fixture;
+    fixture.log.put("t", "config", "r1");
+    fixture.log.silent = true;
+    fixture.follower.setActive(true);
+    fixture.timers.advance(milliseconds(5'000));
+    CHECK_FALSE(fixture.follower.isReachable());
+    fixture.log.silent = false;
+    fixture.timers.advance(milliseconds(2'000));
+    CHECK(fixture.table.end() == 1);
+}
+
 TEST_CASE("an inactive follower does not call the log")
 {
     FollowerFixture fixture;
--- a/modules/feed/tests/test_table_sync.cpp
+++ b/modules/feed/tests/test_table_sync.cpp
@@ -34,7 +34,8 @@
                             .incarnation = 1},
                    .randomSeed = port},
                   transport, hub.timers)
-        , follower({.table = "t"}, log, hub.timers, table)
+        // No long poll ends during a test, as the log of the tests ends none.
+        , follower({.table = "t", .longPollWait = milliseconds(25'000)}, log, hub.timers, table)
         , sync({.relayCapacity = relayCapacity, .randomSeed = port}, network, hub.timers, table,
                follower)
     {
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -211,9 +211,7 @@
                network, timers, rolloutRegister, owner)
     , forwarder(forwarderOptions(settings, randomSeed), timers, network, remoteCallClient, owner,
                 rollouts, metrics)
-    , follower(TableFollowerOptions{.table = wire::OperatorTable,
-                                    .longPollWait = std::chrono::milliseconds(5'000)},
-               storeClient, timers, table)
+    , follower(TableFollowerOptions{.table = wire::OperatorTable}, storeClient, timers, table)
     , tableSync(TableSyncOptions{.relayCapacity = computeRelayCapacity(settings),
                                  .randomSeed = randomSeed},
                 network, timers, table, follower)
--- a/tests/support/fake_keyed_log.h
+++ b/tests/support/fake_keyed_log.h
@@ -43,6 +43,7 @@
 public:
     bool unavailable = false;        ///< All calls fail with Unavailable.
     bool loseWriteResponses = false; ///< Writes take effect but report Unknown.
+    bool silent = false;             ///< Reads are never answered, not even later.
     int callCount = 0;
 
     void put(const std::string &table, const std::string &key, const std::string &value)
@@ -67,6 +68,8 @@
         for (const PendingRead &read : pendingReads)
             read.callback(absl::UnavailableError("the connection was reset"));
     }
+    /** Never answers the pending reads, as if their connections carried nothing more. */
+    void losePendingReads() { m_pendingReads.clear(); }
     /** Returns the newest value of a key, or an empty string. */
     std::string newest(const std::string &table, const std::string &key) const
     {
@@ -84,6 +87,8 @@
     void readNewest(const std::string &table, PageCallback callback) override
     {
         ++callCount;
+        if (silent)
+            return;
         if (unavailable) {
             callback(absl::UnavailableError("down"));
             return;
@@ -101,11 +106,15 @@
     void readFrom(const KeyedReadRequest &request, PageCallback callback) override
     {
         ++callCount;
+        if (silent)
+            return;
         const Table &table = m_tables[request.table];
         if (unavailable) {
             callback(absl::UnavailableError("down"));
         } else if (request.fromOffset < table.firstOffset) {
             callback(absl::OutOfRangeError("the offset is no longer retained"));
+        } else if (request.fromOffset >= table.records.size() && request.maxWait.count() == 0) {
+            callback(KeyedPage{.endOffset = request.fromOffset});
         } else if (request.fromOffset >= table.records.size()) {
             m_pendingReads.push_back({request, std::move(callback)});
         } else {
