Feed: a reader that was not heard of lately does not read for others

In a large failure domain a link counts as silent after four missed heartbeats of 1 s. When all open connections went silent, nodes therefore relied for 4 s on readers whose links were dead, and did not read the store themselves, while changes have to be in force again after 3 s.

A reader now counts while its last status is at most two and a half heartbeat periods old. The same class of fault as the unbounded read: trust in a connection because nothing has come from it.

The new test failed before: 2 of 54 nodes had the change after 3 s.

--- a/modules/feed/table_sync.cpp
+++ b/modules/feed/table_sync.cpp
@@ -23,6 +23,15 @@
     m_checkTimer = Timer(timers, timers.startPeriodic(options.checkPeriod, [this] { check(); }));
 }
 
+bool TableSync::isReader(const FleetPeer &peer) const
+{
+    const std::chrono::duration<double> maxAge =
+            m_network.heartbeatPeriod() * m_options.maxReaderStatusAge;
+    return m_network.isReachable(peer) && m_network.isInOwnDomain(peer) && peer.hasStatus
+           && peer.status.readsLog && !peer.status.leaving
+           && m_timers.now() - peer.statusReceivedAt <= maxAge;
+}
+
 bool TableSync::shouldRead() const
 {
     if (!m_follower.hasRead() && m_timers.now() - m_startedAt < m_options.firstReadTimeout)
@@ -35,9 +44,7 @@
     const auto ownRank = rank(m_options.relayCapacity, self.node);
     std::size_t readersAhead = 0;
     for (const auto &[node, peer] : m_network.peers()) {
-        const bool reads = m_network.isReachable(peer) && peer.hasStatus && peer.status.readsLog
-                           && !peer.status.leaving && m_network.isInOwnDomain(peer);
-        if (reads && rank(peer.status.relayCapacity, node) > ownRank)
+        if (isReader(peer) && rank(peer.status.relayCapacity, node) > ownRank)
             ++readersAhead;
     }
     return readersAhead < m_options.readersPerDomain;
--- a/modules/feed/table_sync.h
+++ b/modules/feed/table_sync.h
@@ -14,6 +14,11 @@
 {
     /** Number of nodes per failure domain that read the log for the others. */
     std::size_t readersPerDomain = 2;
+    /**
+     * A reader counts while its last status is at most this many heartbeat periods old. A link
+     * counts as silent later than that, which is too late for a change to be in force in time.
+     */
+    double maxReaderStatusAge = 2.5;
     std::chrono::milliseconds checkPeriod{100};
     /** An unanswered fetch is abandoned after this time; the next may go to another node. */
     std::chrono::milliseconds fetchTimeout{300};
@@ -63,6 +68,8 @@
     bool shouldRead() const;
     /** Returns a random peer to fetch from, or nullptr if none is ahead or allowed yet. */
     const FleetPeer *chooseFetchSource();
+    /** Returns whether a node of the own failure domain reads the log and was heard of lately. */
+    bool isReader(const FleetPeer &peer) const;
     const std::string &packedRecordsFrom(std::uint64_t offset);
 
 public:
--- a/modules/feed/tests/test_table_sync.cpp
+++ b/modules/feed/tests/test_table_sync.cpp
@@ -25,7 +25,7 @@
     TableFollower follower;
     TableSync sync;
 
-    TableNode(FakeLinkHub &hub, FakeKeyedLog &log, std::uint16_t port)
+    TableNode(FakeLinkHub &hub, FakeKeyedLog &log, std::uint16_t port, milliseconds longPollWait)
         : relayCapacity(port)
         , transport(hub, Endpoint{"127.0.0.1", port})
         , network({.self = {.node = joinText("a-", port),
@@ -34,8 +34,7 @@
                             .incarnation = 1},
                    .randomSeed = port},
                   transport, hub.timers)
-        // No long poll ends during a test, as the log of the tests ends none.
-        , follower({.table = "t", .longPollWait = milliseconds(25'000)}, log, hub.timers, table)
+        , follower({.table = "t", .longPollWait = longPollWait}, log, hub.timers, table)
         , sync({.relayCapacity = relayCapacity, .randomSeed = port}, network, hub.timers, table,
                follower)
     {
@@ -55,13 +54,14 @@
 {
     ManualTimerService timers;
     FakeLinkHub hub{timers};
-    FakeKeyedLog log;
+    FakeKeyedLog log{timers};
+    milliseconds longPollWait{25'000}; ///< Longer than most tests, so that reads can be counted.
     std::vector<std::unique_ptr<TableNode>> nodes;
 
     void addNode()
     {
         const auto port = static_cast<std::uint16_t>(nodes.size() + 1);
-        nodes.push_back(std::make_unique<TableNode>(hub, log, port));
+        nodes.push_back(std::make_unique<TableNode>(hub, log, port, longPollWait));
         std::vector<NodeContact> contacts;
         for (const std::unique_ptr<TableNode> &node : nodes)
             contacts.push_back(node->network.self());
@@ -77,6 +77,19 @@
                 node->updateStatus();
         }
     }
+    /** Silences all open connections, between the nodes and to the log. New ones work. */
+    void silenceOpenConnections()
+    {
+        for (const std::unique_ptr<TableNode> &node : nodes)
+            node->transport.silenceOpenLinks();
+        log.losePendingReads();
+    }
+    /** Returns how many nodes know all records before an offset. */
+    std::ptrdiff_t nodesWithTableEnd(std::uint64_t offset) const
+    {
+        return std::count_if(nodes.begin(), nodes.end(),
+                             [offset](const auto &node) { return node->table.end() >= offset; });
+    }
     std::size_t readerCount() const
     {
         return static_cast<std::size_t>(
@@ -116,4 +129,22 @@
     CHECK(mesh.nodes.back()->table.end() == 1);
 }
 
+// Guards against nodes of a large failure domain that stay on an older configuration because their
+// links to the readers are dead and count as reachable until four heartbeats are missed.
+TEST_CASE("when all open connections go silent every node has a change within three seconds")
+{
+    TableMesh mesh;
+    mesh.longPollWait = TableFollowerOptions().longPollWait;
+    mesh.log.put("t", "config", "r1");
+    const std::size_t nodeCount = GENERATE(4, 54);
+    for (std::size_t i = 0; i < nodeCount; ++i)
+        mesh.addNode();
+    mesh.advance(milliseconds(6'000));
+    mesh.silenceOpenConnections();
+    mesh.advance(milliseconds(400));
+    mesh.log.put("t", "config", "r2");
+    mesh.advance(milliseconds(2'600));
+    CHECK(mesh.nodesWithTableEnd(2) == static_cast<std::ptrdiff_t>(nodeCount));
+}
+
 } // namespace jacinthshift
--- a/tests/support/fake_keyed_log.h
+++ b/tests/support/fake_keyed_log.h
@@ -1,16 +1,21 @@
 #ifndef TESTS_SUPPORT_FAKE_KEYED_LOG_H
 #define TESTS_SUPPORT_FAKE_KEYED_LOG_H
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <utility>
 #include <vector>
 
 #include "servers/keyed_log.h"
+#include "servers/timer_service.h"
 
 namespace jacinthshift {
 
-/** A keyed log in memory. Calls complete at once, except reads that wait for the next record. */
+/**
+ * A keyed log in memory. Calls complete at once, except reads that wait for the next record. Those
+ * end without a record only if there is a timer service.
+ */
 class FakeKeyedLog final : public KeyedLog
 {
     struct Table
@@ -22,10 +27,35 @@
     {
         KeyedReadRequest request;
         PageCallback callback;
+        int number = 0;
     };
 
     std::map<std::string, Table> m_tables;
     std::vector<PendingRead> m_pendingReads;
+    TimerService *m_timers = nullptr;
+
+    static KeyedPage emptyPage(const KeyedReadRequest &request)
+    {
+        return KeyedPage{.endOffset = request.fromOffset};
+    }
+    void addPendingRead(const KeyedReadRequest &request, PageCallback callback)
+    {
+        m_pendingReads.push_back({request, std::move(callback), callCount});
+        if (m_timers == nullptr)
+            return;
+        m_timers->startOnce(request.maxWait, [this, number = callCount] { endRead(number); });
+    }
+    void endRead(int number)
+    {
+        const auto found =
+                std::find_if(m_pendingReads.begin(), m_pendingReads.end(),
+                             [number](const PendingRead &read) { return read.number == number; });
+        if (found == m_pendingReads.end())
+            return;
+        const PendingRead ended = *found;
+        m_pendingReads.erase(found);
+        ended.callback(emptyPage(ended.request));
+    }
 
     void completeReads(const std::string &table)
     {
@@ -41,6 +71,9 @@
     }
 
 public:
+    FakeKeyedLog() = default;
+    explicit FakeKeyedLog(TimerService &timers) : m_timers(&timers) {}
+
     bool unavailable = false;        ///< All calls fail with Unavailable.
     bool loseWriteResponses = false; ///< Writes take effect but report Unknown.
     bool silent = false;             ///< Reads are never answered, not even later.
@@ -114,9 +147,9 @@
         } else if (request.fromOffset < table.firstOffset) {
             callback(absl::OutOfRangeError("the offset is no longer retained"));
         } else if (request.fromOffset >= table.records.size() && request.maxWait.count() == 0) {
-            callback(KeyedPage{.endOffset = request.fromOffset});
+            callback(emptyPage(request));
         } else if (request.fromOffset >= table.records.size()) {
-            m_pendingReads.push_back({request, std::move(callback)});
+            addPendingRead(request, std::move(callback));
         } else {
             KeyedPage page{.endOffset = table.records.size()};
             page.records.assign(table.records.begin()
