Owner: keep to the request rate that a backend server names

Cause: nothing read the header. A backend server's slots were the only measure of what it bears.

The owner, through which all requests of all VMs run, now takes the rate from each answer into the token bucket that limits cold starts, so callers' requests, retries and calls of other backend servers count alike and no VM needs a share. A restarted owner cannot know a limit that its earlier process was told, so it runs two requests until the first answer, which names it again. Senders see the rate in the owner's status and expect a wait accordingly; refusals get a reason of their own. A new enumerator and field change the frames: the protocol between nodes is 3.

--- a/core/event.h
+++ b/core/event.h
@@ -65,6 +65,9 @@
     BackendLeaving = 4012,
     BackendLost = 4013,
     HeartbeatIgnored = 4014,
+    RateLimitNamed = 4020,
+    RateLimitEnded = 4021,
+    RateLimitMalformed = 4022,
 
     RouteChosen = 5001,
     RouteRefused = 5002,
--- a/modules/fleet/call_server.cpp
+++ b/modules/fleet/call_server.cpp
@@ -66,7 +66,8 @@
                                               .queued = status.queued,
                                               .startsPerSecond = status.startsPerSecond,
                                               .serviceTime = status.serviceTime,
-                                              .failuresPerThousand = status.failuresPerThousand}});
+                                              .failuresPerThousand = status.failuresPerThousand,
+                                              .requestRateLimit = status.requestRateLimit}});
 }
 
 void CallServer::resume(const std::string &node, const WorkResumeMessage &message)
--- a/modules/fleet/fleet_network.cpp
+++ b/modules/fleet/fleet_network.cpp
@@ -299,6 +299,7 @@
         backend.startsPerSecond = result->load.startsPerSecond;
         backend.serviceTime = result->load.serviceTime;
         backend.failuresPerThousand = result->load.failuresPerThousand;
+        backend.requestRateLimit = result->load.requestRateLimit;
         peer.statusReceivedAt = m_timers.now();
     }
     for (FleetObserver *observer : m_observers)
--- a/modules/fleet/message_codec.cpp
+++ b/modules/fleet/message_codec.cpp
@@ -97,7 +97,8 @@
             status.startsPerSecond,
             status.serviceTime.count(),
             status.failuresPerThousand,
-            status.braked};
+            status.braked,
+            status.requestRateLimit};
 }
 
 BackendStatus decodeBackend(const json &source)
@@ -113,7 +114,8 @@
                          .startsPerSecond = source.at(7),
                          .serviceTime = decodeMilliseconds(source.at(8)),
                          .failuresPerThousand = source.at(9),
-                         .braked = source.at(10)};
+                         .braked = source.at(10),
+                         .requestRateLimit = source.at(11)};
 }
 
 json encodePage(const KeyedPage &page)
@@ -231,7 +233,8 @@
             message.load.queued,
             message.load.startsPerSecond,
             message.load.serviceTime.count(),
-            message.load.failuresPerThousand};
+            message.load.failuresPerThousand,
+            message.load.requestRateLimit};
 }
 
 void decode(const json &source, WorkResultMessage &message)
@@ -239,7 +242,7 @@
     WorkResult &result = message.result;
     source.at(0).get_to(message.call);
     result.verdict = decodeEnumerator(source.at(1), Verdict::MayHaveRun);
-    result.refusal = decodeEnumerator(source.at(2), WorkRefusal::Suspected);
+    result.refusal = decodeEnumerator(source.at(2), WorkRefusal::RateLimited);
     source.at(3).get_to(result.reachedBackend);
     result.retryAfter = decodeMilliseconds(source.at(4));
     source.at(5).get_to(result.response.status);
@@ -251,6 +254,7 @@
     source.at(11).get_to(message.load.startsPerSecond);
     message.load.serviceTime = decodeMilliseconds(source.at(12));
     source.at(13).get_to(message.load.failuresPerThousand);
+    source.at(14).get_to(message.load.requestRateLimit);
 }
 
 json encode(const WorkCancelMessage &message)
--- a/modules/fleet/messages.h
+++ b/modules/fleet/messages.h
@@ -28,7 +28,7 @@
 struct GreetingMessage
 {
     /** Version of the protocol; a link between different versions is closed. */
-    static constexpr std::uint32_t Protocol = 2;
+    static constexpr std::uint32_t Protocol = 3;
 
     std::uint32_t protocol = Protocol;
     NodeContact self;
@@ -54,7 +54,8 @@
     std::uint32_t startsPerSecond = 0;  ///< Start rate limit of a cold backend server; else zero.
     std::chrono::milliseconds serviceTime{0}; ///< Mean over the last requests.
     std::uint32_t failuresPerThousand = 0;    ///< Failures among the last requests.
-    bool braked = false; ///< Its version was found faulty and receives no new requests.
+    bool braked = false;           ///< Its version was found faulty and receives no new requests.
+    double requestRateLimit = 0.0; ///< Requests per second that it asked for; zero for no limit.
 };
 
 /** A node's state, sent when it changes and as a heartbeat. */
@@ -102,7 +103,8 @@
     Lost,        ///< The connection or the link was closed before a response.
     Malformed,   ///< The response was not a complete HTTP response to this request.
     TimedOut,
-    Suspected, ///< The request has crashed backend servers.
+    Suspected,   ///< The request has crashed backend servers.
+    RateLimited, ///< More requests would exceed the rate that the backend server asked for.
 };
 
 /** The outcome of a request at its owner. */
@@ -131,6 +133,7 @@
     std::uint32_t startsPerSecond = 0;
     std::chrono::milliseconds serviceTime{0};
     std::uint32_t failuresPerThousand = 0;
+    double requestRateLimit = 0.0;
 };
 
 /** The result of a call, with the current load of the backend server. */
--- a/modules/forwarding/owner_selector.cpp
+++ b/modules/forwarding/owner_selector.cpp
@@ -9,6 +9,7 @@
 // Assumed mean service time if no owner has reported one.
 constexpr double DefaultServiceTimeMs = 100.0;
 constexpr double PerThousand = 1'000.0;
+constexpr double MillisecondsPerSecond = 1'000.0;
 
 /** Returns the mean of the reported service times in milliseconds. */
 double meanServiceTime(const std::vector<OwnerCandidate> &candidates)
@@ -42,6 +43,9 @@
                  * std::min(1.0, (utilisation - m_options.slowdownUtilisation)
                                          / (1.0 - m_options.slowdownUtilisation));
     }
+    // The other senders use the rate limit as well, so it is taken to be used up at the moment.
+    if (backend.requestRateLimit > 0.0)
+        total += (backend.queued + 1.0) * MillisecondsPerSecond / backend.requestRateLimit;
     if (load >= limit)
         total += (load - limit + 1.0) * serviceTimeMs / limit;
     return total;
--- a/modules/forwarding/tests/test_owner_selector.cpp
+++ b/modules/forwarding/tests/test_owner_selector.cpp
@@ -115,6 +115,18 @@
     CHECK(counts.at("cold") < 300);
 }
 
+TEST_CASE("a backend server that takes few requests a second is left to others with room")
+{
+    OwnerCandidate limited = candidate("limited", true, 0);
+    limited.backend.requestRateLimit = 2.0;
+    CHECK(countChoices({limited, candidate("free", true, 5)})["limited"] == 0);
+    SECTION("one that takes many is used")
+    {
+        limited.backend.requestRateLimit = 50.0;
+        CHECK(countChoices({limited, candidate("full", true, 20)})["limited"] == 1'000);
+    }
+}
+
 TEST_CASE("choose returns nothing without candidates")
 {
     OwnerSelector selector(OwnerSelectorOptions{}, 7);
--- a/modules/owner/admission_queue.cpp
+++ b/modules/owner/admission_queue.cpp
@@ -88,13 +88,14 @@
     return wait;
 }
 
-void AdmissionQueue::setStartRate(double perSecond, SteadyTime now)
+void AdmissionQueue::setStartRate(double perSecond, WorkRefusal reason, SteadyTime now)
 {
     if (perSecond > 0.0 && m_startsPerSecond <= 0.0) {
         m_startTokens = 1.0;
         m_tokensUpdatedAt = now;
     }
     m_startsPerSecond = perSecond;
+    m_startRateReason = reason;
 }
 
 void AdmissionQueue::recordDemand(std::uint32_t priority, double service, SteadyTime now)
@@ -127,7 +128,7 @@
     if (m_startsPerSecond <= 0.0)
         return true;
     m_startTokens = std::min(
-            m_options.coldStartBurst,
+            m_options.startBurst,
             m_startTokens
                     + m_startsPerSecond * millisecondsBetween(m_tokensUpdatedAt, now) / 1'000.0);
     m_tokensUpdatedAt = now;
@@ -153,7 +154,7 @@
 AdmissionDecision AdmissionQueue::offer(const AdmissionTicket &ticket, SteadyTime now)
 {
     const WorkRefusal refusalReason =
-            m_startsPerSecond > 0.0 ? WorkRefusal::Cold : WorkRefusal::Overloaded;
+            m_startsPerSecond > 0.0 ? m_startRateReason : WorkRefusal::Overloaded;
     const double service = serviceTime(ticket, now);
     if (willMissDeadline(ticket, now) && m_running >= std::min(m_options.maxProbes, m_limit))
         return refuse(refusalReason, service);
--- a/modules/owner/admission_queue.h
+++ b/modules/owner/admission_queue.h
@@ -39,8 +39,8 @@
      */
     std::uint32_t maxProbes = 2;
     std::uint32_t queuePerSlot = 4; ///< Queue capacity, as a multiple of the limit.
-    /** Capacity of the token bucket that limits the starts on a cold backend server. */
-    double coldStartBurst = 1.5;
+    /** Capacity of the token bucket that limits the starts per second. */
+    double startBurst = 1.5;
     /** Bounds of the expected wait that is returned with a refusal. */
     std::chrono::milliseconds minRetryAfter{40};
     std::chrono::milliseconds maxRetryAfter{1'000};
@@ -80,7 +80,8 @@
  *
  * Requests start while slots are free. Others wait in order of urgency if they are expected to be
  * answered in time. A request that is not is refused at once, so that its caller can try another
- * backend server. A token bucket limits the starts per second on a cold backend server.
+ * backend server. A token bucket limits the starts per second on a backend server that is cold or
+ * has asked for a lower rate.
  */
 class AdmissionQueue
 {
@@ -105,6 +106,8 @@
     double m_startsPerSecond = 0.0; ///< Rate of the token bucket; 0 for no limit.
     double m_startTokens = 0.0;
     SteadyTime m_tokensUpdatedAt;
+    /** Why requests are refused while the start rate is limited. */
+    WorkRefusal m_startRateReason = WorkRefusal::Cold;
     SteadyTime m_lastSampleAt;
 
     // Times of type double are in milliseconds.
@@ -129,8 +132,8 @@
 
     /** Sets how many requests may run at once. */
     void setLimit(std::uint32_t limit) { m_limit = limit; }
-    /** Limits how many requests may start per second, for a cold backend server; 0 for no limit. */
-    void setStartRate(double perSecond, SteadyTime now);
+    /** Limits how many requests may start per second, for a reason; 0 for no limit. */
+    void setStartRate(double perSecond, WorkRefusal reason, SteadyTime now);
 
     /** Decides on a ticket and stores it in the queue if it has to wait. */
     AdmissionDecision offer(const AdmissionTicket &ticket, SteadyTime now);
--- a/modules/owner/backend_owner.cpp
+++ b/modules/owner/backend_owner.cpp
@@ -39,6 +39,7 @@
     , m_poison(poison)
     , m_observer(observer)
     , m_admission(options.admission)
+    , m_rateLimit(options.rateLimit)
 {
 }
 
@@ -62,8 +63,9 @@
     m_assumeCold = false;
     m_connectFailures = 0;
     m_coldUntil = m_timers.now() + heartbeat.coldRemaining;
-    m_admission.setLimit(heartbeat.slots);
+    updateConcurrencyLimit();
     if (outcome == RegistrationOutcome::NewLifetime) {
+        m_rateLimit.reset();
         m_evidence.clear();
         m_recentFailures.reset();
         logEvent(Event::BackendAnnounced, {{"backend", heartbeat.id},
@@ -135,16 +137,54 @@
     return m_assumeCold || m_timers.now() < m_coldUntil;
 }
 
+double BackendOwner::coldRate() const
+{
+    if (!isCold())
+        return 0.0;
+    return m_policy.coldRequestsPerSecond > 0.0
+                   ? m_policy.coldRequestsPerSecond * m_options.coldFactor * m_options.coldMargin
+                   : m_options.defaultColdRate;
+}
+
 void BackendOwner::updateStartRate()
 {
-    double rate = 0.0;
-    if (isCold()) {
-        rate = m_policy.coldRequestsPerSecond > 0.0
-                       ? m_policy.coldRequestsPerSecond * m_options.coldFactor
-                                 * m_options.coldMargin
-                       : m_options.defaultColdRate;
+    const double cold = coldRate();
+    const double named = m_rateLimit.perSecond();
+    const bool namedApplies = named > 0.0 && (cold <= 0.0 || named < cold);
+    m_admission.setStartRate(namedApplies ? named : cold,
+                             namedApplies ? WorkRefusal::RateLimited : WorkRefusal::Cold,
+                             m_timers.now());
+}
+
+void BackendOwner::updateConcurrencyLimit()
+{
+    const std::uint32_t slots = m_registration.current()->slots;
+    m_admission.setLimit(m_hasAnswer ? slots : std::min(slots, m_options.maxRunningBeforeAnswer));
+}
+
+void BackendOwner::recordAnswerHeaders(const Work &work, const std::vector<HttpHeader> &headers)
+{
+    const std::optional<BackendHeartbeat> &backend = m_registration.current();
+    if (!backend || backend->id != work.backend)
+        return;
+    if (!m_hasAnswer) {
+        m_hasAnswer = true;
+        updateConcurrencyLimit();
     }
-    m_admission.setStartRate(rate, m_timers.now());
+    const std::string_view header = findHeader(headers, m_options.headers.requestRateLimit);
+    const std::optional<double> named = parseRequestRate(header);
+    if (!header.empty() && !named)
+        logEvent(Event::RateLimitMalformed, {{"backend", backend->id}});
+    const double oldRate = m_rateLimit.perSecond();
+    if (!m_rateLimit.recordAnswer(named, m_timers.now()))
+        return;
+    updateStartRate();
+    const double rate = m_rateLimit.perSecond();
+    if (oldRate > 0.0 && rate > 0.0)
+        return;
+    logEvent(rate > 0.0 ? Event::RateLimitNamed : Event::RateLimitEnded,
+             {{"backend", backend->id}, {"per_second", std::to_string(std::max(oldRate, rate))}});
+    m_observer.ownerStatusChanged();
 }
 
 BackendAvailability BackendOwner::availability() const
@@ -168,7 +208,8 @@
     status.concurrencyLimit = m_admission.limit();
     status.running = m_admission.running();
     status.queued = m_admission.waiting();
-    status.startsPerSecond = static_cast<std::uint32_t>(std::ceil(m_admission.startsPerSecond()));
+    status.startsPerSecond = static_cast<std::uint32_t>(std::ceil(coldRate()));
+    status.requestRateLimit = m_rateLimit.perSecond();
     status.serviceTime = m_admission.meanServiceTime();
     status.failuresPerThousand = m_recentFailures.perThousand(m_timers.now());
     status.braked = m_braked;
@@ -204,6 +245,7 @@
               {"running", m_admission.running()},
               {"waiting", m_admission.waiting()},
               {"limit", m_admission.limit()},
+              {"per_second", static_cast<std::int64_t>(m_admission.startsPerSecond())},
               {"service_ms", m_admission.meanServiceTime().count()},
               {"left_ms", workRequest.timeLeft.count()}});
     callback(WorkResult{.verdict = Verdict::NotRun, .refusal = reason, .retryAfter = retryAfter});
@@ -371,6 +413,9 @@
     m_connectFailures = 0;
     const std::vector<HttpHeader> &headers = result.response.headers;
     const bool misdirected = result.response.status == StatusMisdirected;
+    // A misdirected request was answered by another backend server.
+    if (!misdirected)
+        recordAnswerHeaders(work, headers);
     if (misdirected || !findHeader(headers, m_options.headers.notRun).empty()) {
         outcome.verdict = Verdict::NotRun;
         outcome.refusal = WorkRefusal::Rejected;
--- a/modules/owner/backend_owner.h
+++ b/modules/owner/backend_owner.h
@@ -12,6 +12,7 @@
 #include "modules/owner/admission_queue.h"
 #include "modules/owner/backend_registration.h"
 #include "modules/owner/failure_rate.h"
+#include "modules/owner/request_rate_limit.h"
 #include "modules/traffic/traffic_config.h"
 #include "servers/header_names.h"
 #include "servers/http_client.h"
@@ -24,6 +25,12 @@
     std::string service; ///< The only service whose backend server may register here.
     HeaderNames headers;
     AdmissionQueueOptions admission;
+    RequestRateLimitOptions rateLimit;
+    /**
+     * Requests that may run at once until the first answer since this process started. The backend
+     * server may have asked an earlier process for a low rate, and says so again in that answer.
+     */
+    std::uint32_t maxRunningBeforeAnswer = 2;
     std::chrono::milliseconds connectTimeout{400};
     /** Longest idle time after which a connection is reused for a non-idempotent request. */
     std::chrono::milliseconds maxIdleNonIdempotent{1'000};
@@ -94,6 +101,7 @@
     OwnerObserver &m_observer;
     BackendRegistration m_registration;
     AdmissionQueue m_admission;
+    RequestRateLimit m_rateLimit;
     ServicePolicy m_policy;
     std::unordered_map<std::uint64_t, Work> m_work;
     std::uint64_t m_lastWorkId = 0;
@@ -101,6 +109,7 @@
     SteadyTime m_coldUntil;
     bool m_assumeCold = false;  ///< It may be cold although no heartbeat has reported that yet.
     bool m_unreachable = false; ///< Replaced or not reachable since the last heartbeat.
+    bool m_hasAnswer = false;   ///< A backend server has answered this process.
     bool m_takenOut = false;
     bool m_braked = false;
     bool m_leaving = false;
@@ -128,7 +137,13 @@
     void processQueue();
     void refuseWaiting(WorkRefusal reason);
     void updateStartRate();
+    /** Limits how many requests may run at once to the slots of the current backend server. */
+    void updateConcurrencyLimit();
+    /** Records what the backend server says of itself in the headers of an answer. */
+    void recordAnswerHeaders(const Work &work, const std::vector<HttpHeader> &headers);
     bool isCold() const;
+    /** Returns how many requests per second a cold backend server is given; 0 if it is not cold. */
+    double coldRate() const;
 
 public:
     BackendOwner(const BackendOwnerOptions &options, HttpClient &client, TimerService &timers,
--- a/modules/owner/tests/test_admission_queue.cpp
+++ b/modules/owner/tests/test_admission_queue.cpp
@@ -227,7 +227,7 @@
 TEST_CASE("cold return of a failure domain: starts per second stay within the start rate")
 {
     SimulatedBackend backend(18, 20);
-    backend.queue.setStartRate(30.0, at(0));
+    backend.queue.setStartRate(30.0, WorkRefusal::Cold, at(0));
     // Every request takes 20 ms, so requests end at the rate at which they start.
     std::vector<int> endTimes;
     std::size_t recorded = 0;
--- a/servers/header_names.h
+++ b/servers/header_names.h
@@ -17,6 +17,7 @@
     std::string load;             ///< Running and queued requests and slots of the backend server.
     std::string instance;         ///< The id of the backend server that responds.
     std::string coldMilliseconds; ///< How long the backend server stays cold, in milliseconds.
+    std::string requestRateLimit; ///< Requests per second that the backend server takes from all.
     std::string retryAfter;       ///< After how many seconds a rejected caller may retry.
 };
 
