Fleet, owner: a backend server whose answers say that it leaves gets no new requests

New on the platform: a backend server that shuts down says Server-Leaving in its answers; from 2 s after a VM has passed such an answer on, no request may reach it from there, whether the VM is in touch or not (DRAIN). Nothing read the header.

Cause of the harder half: only the owner knew who leaves, and it forgets when its process restarts, while late heartbeats still report the backend server as ready.

The owner treats the header as draining, final for that lifetime, and reports leaving and start time of its backend server in its status, also after a deregistration. The status goes out before the answer, so a VM that passes the answer on knows. Peers remember the last backend server of each owner that left, over restarts of the owner, and do not choose it again; a new start time is a new lifetime. An answer of an earlier lifetime under the same id has no effect.

Both new tests failed with the header ignored and the memory switched off: the queue of the owner went on, and a request reached the restarted owner.

--- a/modules/fleet/fleet_network.cpp
+++ b/modules/fleet/fleet_network.cpp
@@ -288,9 +288,7 @@
     if (probe != nullptr && !probe->reply)
         send(node, ProbeMessage{.reply = true});
     if (const StatusMessage *status = std::get_if<StatusMessage>(&*message)) {
-        peer.status = *status;
-        peer.statusReceivedAt = m_timers.now();
-        peer.hasStatus = true;
+        updateStatus(peer, *status);
     } else if (const WorkResultMessage *result = std::get_if<WorkResultMessage>(&*message)) {
         BackendStatus &backend = peer.status.backend;
         backend.concurrencyLimit = result->load.concurrencyLimit;
@@ -306,6 +304,21 @@
         observer->messageReceived(node, *message);
 }
 
+void FleetNetwork::updateStatus(FleetPeer &peer, const StatusMessage &status)
+{
+    peer.status = status;
+    peer.statusReceivedAt = m_timers.now();
+    peer.hasStatus = true;
+    if (status.backend.leaving)
+        peer.leavingBackend = BackendLifetime{status.backend.id, status.backend.startedAt};
+}
+
+bool FleetNetwork::isBackendLeaving(const FleetPeer &peer)
+{
+    const BackendStatus &backend = peer.status.backend;
+    return peer.leavingBackend == BackendLifetime{backend.id, backend.startedAt};
+}
+
 void FleetNetwork::handleGreeting(LinkId link, const GreetingMessage &greeting)
 {
     const NodeContact &contact = greeting.self;
--- a/modules/fleet/fleet_network.h
+++ b/modules/fleet/fleet_network.h
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -46,11 +47,25 @@
     std::chrono::milliseconds unreachableRetention{600'000};
 };
 
+/** One lifetime of a backend server. */
+struct BackendLifetime
+{
+    std::string id;
+    std::uint64_t startedAt = 0; ///< Unix milliseconds; zero if unknown.
+
+    bool operator==(const BackendLifetime &) const = default;
+};
+
 /** Contact, last reported status and link state of another node. */
 struct FleetPeer
 {
     NodeContact contact;
     StatusMessage status;
+    /**
+     * The last backend server there that said it shuts down. Unlike the status, it outlasts the
+     * peer's process, since a restarted owner may learn of it only from a late heartbeat.
+     */
+    std::optional<BackendLifetime> leavingBackend;
     SteadyTime statusReceivedAt;   ///< When the status was received.
     SteadyTime lastReceivedAt;     ///< When a frame was last received from it.
     SteadyTime lastSentAt;         ///< When a message was last sent to it.
@@ -117,6 +132,7 @@
     void sendStatus();
     void sendHeartbeats();
     void handleGreeting(LinkId link, const GreetingMessage &greeting);
+    void updateStatus(FleetPeer &peer, const StatusMessage &status);
     std::chrono::milliseconds silenceTimeout() const;
     void fetchContacts();
     bool transmit(LinkId link, const FleetPeer &peer, const FleetMessage &message,
@@ -149,6 +165,8 @@
     const std::map<std::string, FleetPeer> &peers() const { return m_peers; }
     /** Returns the peer with a name, or nullptr if it is unknown. */
     const FleetPeer *peer(const std::string &node) const;
+    /** Returns whether the backend server that a peer reports has said that it shuts down. */
+    static bool isBackendLeaving(const FleetPeer &peer);
     /** Returns whether a node is in the same failure domain as this one. */
     bool isInOwnDomain(const FleetPeer &peer) const;
     /** Returns whether a node has a link that is not silent. */
--- a/modules/fleet/message_codec.cpp
+++ b/modules/fleet/message_codec.cpp
@@ -98,7 +98,9 @@
             status.serviceTime.count(),
             status.failuresPerThousand,
             status.braked,
-            status.requestRateLimit};
+            status.requestRateLimit,
+            status.startedAt,
+            status.leaving};
 }
 
 BackendStatus decodeBackend(const json &source)
@@ -106,6 +108,8 @@
     return BackendStatus{.availability =
                                  decodeEnumerator(source.at(0), BackendAvailability::Draining),
                          .id = source.at(1),
+                         .startedAt = source.at(12),
+                         .leaving = source.at(13),
                          .service = source.at(2),
                          .version = source.at(3),
                          .concurrencyLimit = source.at(4),
--- a/modules/fleet/messages.h
+++ b/modules/fleet/messages.h
@@ -41,11 +41,16 @@
     Draining,
 };
 
-/** State of a backend server as reported by its owner. */
+/**
+ * State of a backend server as reported by its owner. After a deregistration, the id, startedAt and
+ * leaving of the backend server that left remain.
+ */
 struct BackendStatus
 {
     BackendAvailability availability = BackendAvailability::Absent;
     std::string id;
+    std::uint64_t startedAt = 0; ///< Unix milliseconds; zero if unknown. Tells lifetimes apart.
+    bool leaving = false;        ///< It said that it shuts down, which is final for its lifetime.
     std::string service;
     std::string version;
     std::uint32_t concurrencyLimit = 0; ///< Maximum number of concurrent requests.
--- a/modules/forwarding/owner_directory.cpp
+++ b/modules/forwarding/owner_directory.cpp
@@ -72,7 +72,8 @@
         return Exclusion::Leaving;
     if (backend.availability == BackendAvailability::Absent)
         return Exclusion::Absent;
-    if (backend.availability != BackendAvailability::Ready)
+    const bool saidLeaving = entry.peer != nullptr && FleetNetwork::isBackendLeaving(*entry.peer);
+    if (backend.availability != BackendAvailability::Ready || saidLeaving)
         return Exclusion::Draining;
     if (backend.braked)
         return Exclusion::Braked;
--- a/modules/forwarding/tests/test_forwarder.cpp
+++ b/modules/forwarding/tests/test_forwarder.cpp
@@ -320,4 +320,41 @@
     CHECK(bench.attempts() <= 300 + 30 + 11);
 }
 
+// Guards against requests to a backend server that said it shuts down, after its owner's process
+// restarted and learned of it from a late heartbeat.
+TEST_CASE("a backend server that said it leaves gets no requests when its owner has restarted")
+{
+    ForwarderBench bench;
+    bench.local.state.availability = BackendAvailability::Absent;
+    BackendStatus &state = bench.remoteOwner.state;
+    state.startedAt = 5;
+    BackendStatus leaving = state;
+    leaving.availability = BackendAvailability::Draining;
+    leaving.leaving = true;
+    bench.remoteNetwork.setStatus({.backend = leaving}, StatusAudience::Everywhere);
+    bench.timers.advance(milliseconds(50));
+    bench.remoteTransport.closeAll();
+    FakeLinkTransport transport{bench.hub, {"127.0.0.1", 2}};
+    FleetNetwork restarted{{.self = {.node = "other",
+                                     .domain = "d",
+                                     .linkEndpoint = {"127.0.0.1", 2},
+                                     .incarnation = 1}},
+                           transport,
+                           bench.timers};
+    CallServer server{CallServerOptions{}, restarted, bench.timers, bench.remoteOwner};
+    REQUIRE(restarted.start().ok());
+    restarted.setStatus({.backend = state}, StatusAudience::Nobody);
+    restarted.addContacts({bench.network.self()});
+    bench.timers.advance(milliseconds(1'000));
+    bench.send("/read/1");
+    bench.timers.advance(milliseconds(50));
+    CHECK(bench.remoteOwner.requests.empty());
+    state.startedAt = 6;
+    restarted.setStatus({.backend = state}, StatusAudience::Everywhere);
+    bench.timers.advance(milliseconds(50));
+    bench.send("/read/2");
+    bench.timers.advance(milliseconds(50));
+    CHECK(bench.remoteOwner.requests.size() == 1);
+}
+
 } // namespace jacinthshift
--- a/modules/owner/backend_owner.cpp
+++ b/modules/owner/backend_owner.cpp
@@ -65,6 +65,7 @@
     m_coldUntil = m_timers.now() + heartbeat.coldRemaining;
     updateConcurrencyLimit();
     if (outcome == RegistrationOutcome::NewLifetime) {
+        ++m_lifetime;
         m_rateLimit.reset();
         m_evidence.clear();
         m_recentFailures.reset();
@@ -78,7 +79,8 @@
         refuseWaiting(WorkRefusal::Draining);
     if (availability() != oldAvailability || outcome == RegistrationOutcome::NewLifetime) {
         if (draining)
-            logEvent(Event::BackendLeaving, {{"backend", heartbeat.id}});
+            logEvent(Event::BackendLeaving,
+                     {{"backend", heartbeat.id}, {"reason", "it reports that it drains"}});
         m_observer.ownerStatusChanged();
     }
     processQueue();
@@ -89,7 +91,7 @@
 {
     if (m_registration.deregister(id, startedAt) != RegistrationOutcome::Accepted)
         return;
-    logEvent(Event::BackendLeaving, {{"backend", id}});
+    logEvent(Event::BackendLeaving, {{"backend", id}, {"reason", "it has deregistered"}});
     refuseWaiting(WorkRefusal::Draining);
     m_observer.ownerStatusChanged();
 }
@@ -165,16 +167,33 @@
 void BackendOwner::recordAnswerHeaders(const Work &work, const std::vector<HttpHeader> &headers)
 {
     const std::optional<BackendHeartbeat> &backend = m_registration.current();
-    if (!backend || backend->id != work.backend)
+    if (!backend || work.lifetime != m_lifetime)
         return;
     if (!m_hasAnswer) {
         m_hasAnswer = true;
         updateConcurrencyLimit();
     }
-    const std::string_view header = findHeader(headers, m_options.headers.requestRateLimit);
+    recordRateLimit(findHeader(headers, m_options.headers.requestRateLimit));
+    if (findHeader(headers, m_options.headers.leaving) == "1")
+        recordLeaving();
+}
+
+void BackendOwner::recordLeaving()
+{
+    if (!m_registration.setDraining())
+        return;
+    logEvent(Event::BackendLeaving,
+             {{"backend", m_registration.current()->id}, {"reason", "its answer says so"}});
+    refuseWaiting(WorkRefusal::Draining);
+    m_observer.ownerStatusChanged();
+}
+
+void BackendOwner::recordRateLimit(std::string_view header)
+{
+    const std::string &id = m_registration.current()->id;
     const std::optional<double> named = parseRequestRate(header);
     if (!header.empty() && !named)
-        logEvent(Event::RateLimitMalformed, {{"backend", backend->id}});
+        logEvent(Event::RateLimitMalformed, {{"backend", id}});
     const double oldRate = m_rateLimit.perSecond();
     if (!m_rateLimit.recordAnswer(named, m_timers.now()))
         return;
@@ -183,7 +202,7 @@
     if (oldRate > 0.0 && rate > 0.0)
         return;
     logEvent(rate > 0.0 ? Event::RateLimitNamed : Event::RateLimitEnded,
-             {{"backend", backend->id}, {"per_second", std::to_string(std::max(oldRate, rate))}});
+             {{"backend", id}, {"per_second", std::to_string(std::max(oldRate, rate))}});
     m_observer.ownerStatusChanged();
 }
 
@@ -200,9 +219,17 @@
 {
     const std::optional<BackendHeartbeat> &backend = m_registration.current();
     BackendStatus status{.availability = availability()};
-    if (!backend)
+    if (!backend) {
+        if (const auto *left = m_registration.lastDeregistration()) {
+            status.id = left->id;
+            status.startedAt = left->startedAt.value_or(0);
+            status.leaving = true;
+        }
         return status;
+    }
     status.id = backend->id;
+    status.startedAt = backend->startedAt.value_or(0);
+    status.leaving = backend->draining;
     status.service = backend->service;
     status.version = backend->version;
     status.concurrencyLimit = m_admission.limit();
@@ -351,6 +378,7 @@
     const BackendHeartbeat &backend = *m_registration.current();
     work.startedAt = now;
     work.backend = backend.id;
+    work.lifetime = m_lifetime;
     const std::chrono::milliseconds timeLeft =
             std::max(timeUntil(now, work.deadline), std::chrono::milliseconds(1));
     const HeaderNames &names = m_options.headers;
--- a/modules/owner/backend_owner.h
+++ b/modules/owner/backend_owner.h
@@ -91,7 +91,8 @@
         SteadyTime startedAt; ///< Zero while the request is queued.
         SteadyTime deadline;
         HttpCallId call = HttpCallId::None;
-        std::string backend; ///< Id of the backend server it was sent to.
+        std::string backend;        ///< Id of the backend server it was sent to.
+        std::uint64_t lifetime = 0; ///< Number of that backend server's lifetime, see m_lifetime.
     };
 
     BackendOwnerOptions m_options;
@@ -105,6 +106,7 @@
     ServicePolicy m_policy;
     std::unordered_map<std::uint64_t, Work> m_work;
     std::uint64_t m_lastWorkId = 0;
+    std::uint64_t m_lifetime = 0; ///< Counts the lifetimes of backend servers seen here.
     std::map<std::string, ArmEvidence> m_evidence; ///< By route, of the current backend server.
     SteadyTime m_coldUntil;
     bool m_assumeCold = false;  ///< It may be cold although no heartbeat has reported that yet.
@@ -141,6 +143,8 @@
     void updateConcurrencyLimit();
     /** Records what the backend server says of itself in the headers of an answer. */
     void recordAnswerHeaders(const Work &work, const std::vector<HttpHeader> &headers);
+    void recordRateLimit(std::string_view header);
+    void recordLeaving();
     bool isCold() const;
     /** Returns how many requests per second a cold backend server is given; 0 if it is not cold. */
     double coldRate() const;
--- a/modules/owner/backend_registration.cpp
+++ b/modules/owner/backend_registration.cpp
@@ -50,6 +50,14 @@
     return RegistrationOutcome::Accepted;
 }
 
+bool BackendRegistration::setDraining()
+{
+    if (!m_current || m_current->draining)
+        return false;
+    m_current->draining = true;
+    return true;
+}
+
 RegistrationOutcome BackendRegistration::deregister(const std::string &id,
                                                     std::optional<std::uint64_t> startedAt)
 {
--- a/modules/owner/backend_registration.h
+++ b/modules/owner/backend_registration.h
@@ -26,12 +26,14 @@
  */
 class BackendRegistration
 {
+public:
     struct Deregistration
     {
         std::string id;
         std::optional<std::uint64_t> startedAt;
     };
 
+private:
     std::optional<BackendHeartbeat> m_current;
     std::deque<Deregistration> m_deregistrations;
 
@@ -47,7 +49,15 @@
      */
     RegistrationOutcome deregister(const std::string &id, std::optional<std::uint64_t> startedAt);
 
+    /** Marks the current backend server as draining. Returns false if it already is. */
+    bool setDraining();
+
     const std::optional<BackendHeartbeat> &current() const { return m_current; }
+    /** Returns the last deregistration, or null if there was none. */
+    const Deregistration *lastDeregistration() const
+    {
+        return m_deregistrations.empty() ? nullptr : &m_deregistrations.back();
+    }
 };
 
 } // namespace jacinthshift
--- a/modules/owner/tests/test_backend_owner.cpp
+++ b/modules/owner/tests/test_backend_owner.cpp
@@ -15,7 +15,8 @@
                               .expectedInstance = "Expected",
                               .callerService = "Caller",
                               .notRun = "Not-Run",
-                              .seal = "Seal"};
+                              .seal = "Seal",
+                              .leaving = "Leaving"};
 
 struct RecordingObserver final : public OwnerObserver
 {
@@ -165,6 +166,50 @@
     CHECK(fixture.http.sentRequests.size() == 2);
 }
 
+// Guards against requests to a backend server whose answers say that it shuts down.
+TEST_CASE("an answer that says the backend server leaves has the effect of draining")
+{
+    OwnerFixture fixture;
+    for (const char *id : {"1", "2", "3"})
+        fixture.run(id);
+    const int status = GENERATE(200, 503);
+    fixture.http.respond(status, {{"Seal", "x"}, {"Leaving", "1"}});
+    REQUIRE(fixture.results.size() == 2);
+    CHECK(fixture.results[0].refusal == WorkRefusal::Draining);
+    CHECK(fixture.results[1].verdict == Verdict::Done);
+    CHECK(fixture.owner.status().leaving);
+    fixture.run("4");
+    CHECK(fixture.results[2].refusal == WorkRefusal::Draining);
+    SECTION("a later heartbeat of the same lifetime does not end it")
+    {
+        REQUIRE(fixture.sendHeartbeat().ok());
+        fixture.run("5");
+        CHECK(fixture.results[3].refusal == WorkRefusal::Draining);
+        CHECK(fixture.http.sentRequests.size() == 2);
+    }
+    SECTION("a new lifetime is used, and an answer of the old one does not end it")
+    {
+        REQUIRE(fixture.sendHeartbeat(false, 2).ok());
+        fixture.http.respond(200, {{"Seal", "x"}, {"Leaving", "1"}});
+        CHECK(fixture.owner.status().availability == BackendAvailability::Ready);
+        fixture.run("5");
+        CHECK(fixture.http.sentRequests.size() == 3);
+    }
+}
+
+TEST_CASE("the status tells which backend server left, also after its deregistration")
+{
+    OwnerFixture fixture;
+    REQUIRE(fixture.sendHeartbeat(false, 7).ok());
+    CHECK_FALSE(fixture.owner.status().leaving);
+    fixture.owner.deregister("i-1", std::nullopt);
+    const BackendStatus status = fixture.owner.status();
+    CHECK(status.availability == BackendAvailability::Absent);
+    CHECK(status.leaving);
+    CHECK(status.id == "i-1");
+    CHECK(status.startedAt == 7);
+}
+
 TEST_CASE("a backend server of another service is not registered")
 {
     OwnerFixture fixture;
