HTTP client: end a response that never ends

New on the platform: bytes that are no answer may come without end, in a head or a body. Callers saw only a late 504, but the node read on until the request's deadline: a chunk or trailer head without end was kept in memory, and 1xx responses or answers to earlier requests were dropped one after the other, at full speed.

Cause: the parser bounds a head and a body, not a chunk's extension or a trailer, and nothing bounded the dropped responses.

The client now bounds unparsed bytes, dropped responses, the bytes of one exchange and those of all exchanges together; what exceeds them is malformed, the connection is closed and the request may have run. The new test with nine forms of endless bytes failed before for four: chunk extension, trailer, 1xx and late answers ended only at the timeout.

--- a/drivers/beast/beast_http_client.cpp
+++ b/drivers/beast/beast_http_client.cpp
@@ -23,6 +23,11 @@
 /** After this idle time a connection is checked for pending input before it is reused. */
 constexpr std::chrono::milliseconds MaxUncheckedIdleTime{100};
 constexpr std::uint32_t MaxHeaderBytes = 32 * 1024;
+/** Bytes of a chunk's or trailer's head that the parser leaves until the head is complete. */
+constexpr std::size_t MaxUnparsedBytes = MaxHeaderBytes;
+/** Responses that are dropped before the one to the request: 1xx, or late ones to earlier requests.
+ */
+constexpr std::uint32_t MaxDroppedResponses = 16;
 
 /**
  * Returns the idle time that the Keep-Alive header allows, reduced by a margin; zero if the header
@@ -75,6 +80,8 @@
     std::size_t written = 0;
     std::unique_ptr<Parser> parser;
     std::string input;
+    std::size_t received = 0; ///< All bytes of the exchange, dropped responses included.
+    std::uint32_t droppedResponses = 0;
     bool headRequest = false;
     bool closeAfterResponse = false;
     HttpHeader correlationHeader;
@@ -93,6 +100,8 @@
     void beginWrite();
     void continueWrite();
     void continueRead();
+    /** Adds bytes to the input. Returns false if the exchange has received too many. */
+    bool addInput(const char *data, std::size_t size);
     /** Parses the input up to the end of the response. Returns false if it is malformed. */
     bool parseInput();
     /** Returns false for a 1xx response and for one with another correlation value. */
@@ -109,6 +118,7 @@
     std::unordered_map<HttpCallId, ConnectionPointer> active;
     std::map<Endpoint, std::vector<ConnectionPointer>> idle;
     std::uint64_t lastId = 0;
+    std::size_t receivedBytes = 0; ///< Of all exchanges in progress.
 
     /**
      * Removes and returns the most recently used idle connection that has no pending input; null if
@@ -165,6 +175,7 @@
                                     bool reusable)
 {
     active.erase(connection->callId);
+    receivedBytes -= std::exchange(connection->received, 0);
     connection->callId = HttpCallId::None;
     connection->timeout.stop();
     connection->connectTimeout.stop();
@@ -240,13 +251,12 @@
     // connection.
     const std::shared_ptr<Connection> self = state.find(callId);
     std::array<char, ReadBufferBytes> buffer;
-    std::size_t received = 0;
-    const SocketResult outcome = socket.read(buffer.data(), buffer.size(), received);
+    std::size_t bytes = 0;
+    const SocketResult outcome = socket.read(buffer.data(), buffer.size(), bytes);
     if (outcome == SocketResult::WouldBlock)
         return;
     if (outcome == SocketResult::Progress) {
-        input.append(buffer.data(), received);
-        if (!parseInput())
+        if (!addInput(buffer.data(), bytes) || !parseInput())
             fail(HttpFailure::Malformed);
         else if (parser->is_done())
             acceptResponse();
@@ -261,6 +271,16 @@
         fail(HttpFailure::ConnectionLost);
 }
 
+bool BeastHttpClient::Connection::addInput(const char *data, std::size_t size)
+{
+    input.append(data, size);
+    received += size;
+    state.receivedBytes += size;
+    // Heads, chunk sizes and dropped responses get as many bytes again as a body may have.
+    return received <= 2 * (state.options.maxBodyBytes + MaxHeaderBytes)
+           && state.receivedBytes <= state.options.maxReceivedBytes;
+}
+
 bool BeastHttpClient::Connection::parseInput()
 {
     while (!input.empty() && !parser->is_done()) {
@@ -268,10 +288,12 @@
         const std::size_t used = parser->put(boost::asio::buffer(input), error);
         input.erase(0, used);
         if (error == http::error::need_more)
-            return true;
+            return input.size() <= MaxUnparsedBytes;
         if (error)
             return false;
         if (parser->is_done() && !matchesRequest()) {
+            if (++droppedResponses > MaxDroppedResponses)
+                return false;
             closeAfterResponse = closeAfterResponse || !parser->keep_alive();
             resetParser();
         }
@@ -343,6 +365,7 @@
     raw->output = serializeRequest(options.server, request);
     raw->written = 0;
     raw->input.clear();
+    raw->droppedResponses = 0;
     raw->headRequest = request.method == "HEAD";
     raw->correlationHeader = options.correlationHeader;
     raw->resetParser();
--- a/drivers/tests/test_http_clients.cpp
+++ b/drivers/tests/test_http_clients.cpp
@@ -21,6 +21,7 @@
     {
         TcpSocket socket;
         std::string input;
+        std::size_t pieceOffset = 0; ///< Bytes of the endless piece that were written.
     };
 
     std::vector<std::string> m_responses; ///< An empty one closes the connection instead.
@@ -58,10 +59,31 @@
             peer->socket.write(response.data(), response.size(), written);
         else
             std::erase_if(m_peers, [peer](const auto &known) { return known.get() == peer; });
+        if (!response.empty() && !endlessPiece.empty())
+            peer->socket.waitWritable([this, peer] { writeEndlessly(peer); });
+    }
+
+    void writeEndlessly(Peer *peer)
+    {
+        // The client runs in the same loop, so it gets its turn after some pieces.
+        for (int piece = 0; piece < 64; ++piece) {
+            std::size_t written = 0;
+            const SocketResult outcome =
+                    peer->socket.write(endlessPiece.data() + peer->pieceOffset,
+                                       endlessPiece.size() - peer->pieceOffset, written);
+            if (outcome == SocketResult::WouldBlock)
+                return;
+            if (outcome != SocketResult::Progress) {
+                peer->socket.stopWaiting();
+                return;
+            }
+            peer->pieceOffset = (peer->pieceOffset + written) % endlessPiece.size();
+        }
     }
 
 public:
     std::size_t requests = 0;
+    std::string endlessPiece; ///< Sent after each response until the client closes.
 
     explicit ScriptedServer(std::vector<std::string> responses) : m_responses(std::move(responses))
     {
@@ -131,4 +153,37 @@
     CHECK(server.requests == 2);
 }
 
+// Guards against a backend server that sends bytes without end and so uses up the node's memory and
+// processor time until the request's deadline.
+TEST_CASE("a response without end is malformed after a bounded number of bytes")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nId: 1\r\n";
+    const std::string chunkedHead = head + "Transfer-Encoding: chunked\r\n\r\n";
+    const auto [begin, piece] = GENERATE_COPY(table<std::string, std::string>(
+            {{head + "X: ", std::string(4'000, 'a')},
+             {head, "X: a\r\n"},
+             {head + "\r\n", std::string(4'000, 'b')},
+             {chunkedHead + "1;", std::string(4'000, 'e')},
+             {chunkedHead, "1;" + std::string(4'000, 'e') + "\r\nx\r\n"},
+             {chunkedHead + "0\r\n", "T: a\r\n"},
+             {"HTTP/1.1 102 Processing\r\n\r\n", "HTTP/1.1 102 Processing\r\n\r\n"},
+             {"HTTP/1.1 ", "2"},
+             {"HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 0\r\n\r\n",
+              "HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 0\r\n\r\n"}}));
+    ScriptedServer server({begin});
+    server.endlessPiece = piece;
+    BeastHttpClient client({.maxBodyBytes = 100'000});
+    std::optional<HttpResult> result;
+    client.send(HttpSendOptions{.server = server.endpoint(),
+                                .timeout = std::chrono::milliseconds(3'000),
+                                .correlationHeader = {.name = "Id", .value = "1"}},
+                HttpRequest{.method = "GET", .target = "/x", .headers = {{"Id", "1"}}},
+                [&result](HttpResult response) { result = std::move(response); });
+    while (!result.has_value())
+        g_main_context_iteration(nullptr, TRUE);
+    CAPTURE(begin, piece.size());
+    CHECK(result->verdict == Verdict::MayHaveRun);
+    CHECK(result->failure == HttpFailure::Malformed);
+}
+
 } // namespace jacinthshift
