HTTP client: a response without the request's id is not believed on a reused connection

A faulty backend server wrote an earlier refusal once more on a kept connection. Clients of other systems were told 'not run, try again' for requests that had run (REFUSED), or the request ran at a second backend server (TWICE).

Here a repeated refusal with the earlier request's id was dropped already; the new test shows it. One without an id was taken as the answer, whose not-run header is a promise. On a connection that has carried an earlier request it is now malformed, so the request may have run. On a fresh connection it can only belong to its one request, and is accepted as before. The test's section without an id failed before.

--- a/drivers/beast/beast_http_client.cpp
+++ b/drivers/beast/beast_http_client.cpp
@@ -71,6 +71,7 @@
     Endpoint server;
     TcpSocket socket;
     bool connected = false;
+    bool reused = false; ///< The connection has carried an earlier exchange.
     SteadyTime idleSince;
 
     // The current exchange.
@@ -314,7 +315,8 @@
 {
     const bool uncorrelated = !correlationHeader.name.empty()
                               && parser->get().find(correlationHeader.name) == parser->get().end();
-    if (uncorrelated && parser->get().result_int() < 300) {
+    // On a reused connection, such a response may belong to the exchange before.
+    if (uncorrelated && (reused || parser->get().result_int() < 300)) {
         fail(HttpFailure::Malformed);
         return;
     }
@@ -374,6 +376,7 @@
     EpollLoop &loop = EpollLoop::instance();
     raw->timeout = Timer(
             loop, loop.startOnce(options.timeout, [raw] { raw->fail(HttpFailure::TimedOut); }));
+    raw->reused = raw->connected;
     if (raw->connected) {
         raw->beginWrite();
         return id;
--- a/drivers/tests/test_http_clients.cpp
+++ b/drivers/tests/test_http_clients.cpp
@@ -186,4 +186,43 @@
     CHECK(result->failure == HttpFailure::Malformed);
 }
 
+// Guards against callers that are told that a request did not run, because a backend server wrote
+// an earlier refusal once more: the request has run, or runs at a second backend server too.
+TEST_CASE("a refusal that is repeated on a kept connection does not answer the next request")
+{
+    const std::string refusal = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n";
+    const std::string withId = refusal + "Id: 1\r\n\r\n";
+    const std::string answer = "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 2\r\n\r\nok";
+    const auto send = [](BeastHttpClient &client, const ScriptedServer &server,
+                         const std::string &id) {
+        std::optional<HttpResult> result;
+        client.send(HttpSendOptions{.server = server.endpoint(),
+                                    .timeout = std::chrono::milliseconds(1'000),
+                                    .correlationHeader = {.name = "Id", .value = id}},
+                    HttpRequest{.method = "GET", .target = "/x", .headers = {{"Id", id}}},
+                    [&result](HttpResult response) { result = std::move(response); });
+        while (!result.has_value())
+            g_main_context_iteration(nullptr, TRUE);
+        return *std::move(result);
+    };
+    BeastHttpClient client({});
+    SECTION("with the id of the earlier request")
+    {
+        ScriptedServer server({withId, withId + answer});
+        CHECK(send(client, server, "1").response.status == 503);
+        CHECK(send(client, server, "2").response.body == "ok");
+    }
+    SECTION("without an id")
+    {
+        ScriptedServer server({withId, refusal + "\r\n" + answer});
+        CHECK(send(client, server, "1").response.status == 503);
+        CHECK(send(client, server, "2").verdict == Verdict::MayHaveRun);
+    }
+    SECTION("a first request is answered without an id")
+    {
+        ScriptedServer server({refusal + "\r\n"});
+        CHECK(send(client, server, "1").response.status == 503);
+    }
+}
+
 } // namespace jacinthshift
--- a/servers/http_client.h
+++ b/servers/http_client.h
@@ -42,7 +42,8 @@
     std::optional<std::chrono::milliseconds> maxIdleTime;
     /**
      * A header that the server echoes, with its value in the request. A response with another value
-     * belongs to an earlier request and is dropped; a success without the header is Malformed.
+     * belongs to an earlier request and is dropped. A response without the header is Malformed if
+     * it is a success, or if the connection has carried an earlier request.
      */
     HttpHeader correlationHeader;
 };
