--- a/servers/header_names.h
+++ b/servers/header_names.h
@@ -18,7 +18,7 @@
     std::string instance;         ///< The id of the backend server that responds.
     std::string coldMilliseconds; ///< How long the backend server stays cold, in milliseconds.
     std::string requestRateLimit; ///< Requests per second that the backend server takes from all.
-    std::string leaving; ///< "1" in all responses of a backend server that shuts down.
+    std::string leaving;          ///< "1" in all responses of a backend server that shuts down.
     std::string retryAfter;       ///< After how many seconds a rejected caller may retry.
 };
 
