--- a/modules/owner/tests/test_rate_limited_owner.cpp
+++ b/modules/owner/tests/test_rate_limited_owner.cpp
@@ -165,6 +165,20 @@
     CHECK(fixture.owner->status().requestRateLimit == 0.0);
 }
 
+TEST_CASE("an owner that was frozen does not make up for the time")
+{
+    OverloadedOwner fixture;
+    fixture.limit = "2";
+    fixture.runFor(seconds(2));
+    const std::size_t begin = fixture.step();
+    for (int freeze = 0; freeze < 4; ++freeze) {
+        fixture.timers.advance(seconds(3));
+        fixture.runFor(seconds(1));
+    }
+    // The steps leave the frozen time out, so this counts more than 4 s.
+    CHECK(static_cast<double>(fixture.mostInFourSeconds(begin)) <= allowedInFourSeconds(2.0));
+}
+
 TEST_CASE("a restarted backend server has no limit until it names one")
 {
     OverloadedOwner fixture;
