--- a/drivers/beast/beast_http_client.cpp
+++ b/drivers/beast/beast_http_client.cpp
@@ -23,10 +23,9 @@
 /** After this idle time a connection is checked for pending input before it is reused. */
 constexpr std::chrono::milliseconds MaxUncheckedIdleTime{100};
 constexpr std::uint32_t MaxHeaderBytes = 32 * 1024;
-/** Bytes of a chunk's or trailer's head that the parser leaves until the head is complete. */
+/** Bytes that the parser leaves in the input until the head of a chunk or a trailer is complete. */
 constexpr std::size_t MaxUnparsedBytes = MaxHeaderBytes;
-/** Responses that are dropped before the one to the request: 1xx, or late ones to earlier requests.
- */
+/** Responses dropped in one exchange: 1xx ones, and late ones to earlier requests. */
 constexpr std::uint32_t MaxDroppedResponses = 16;
 
 /**
--- a/modules/feed/table_follower.cpp
+++ b/modules/feed/table_follower.cpp
@@ -44,7 +44,7 @@
 
 void TableFollower::read()
 {
-    const std::uint64_t read = ++m_currentRead;
+    const std::uint64_t readNumber = ++m_currentRead;
     const bool isWholeTable = m_needsWholeTable;
     // The first read after a failure is answered at once, which shows whether the log is back.
     const bool waits = m_reachable && !isWholeTable;
@@ -52,8 +52,8 @@
             waits ? m_options.longPollWait : std::chrono::milliseconds(0);
     m_timer = Timer(m_timers,
                     m_timers.startOnce(wait + m_answerTimeout, [this] { readUnanswered(); }));
-    const auto callback = [this, read, isWholeTable](const absl::StatusOr<KeyedPage> &page) {
-        readFinished(read, page, isWholeTable);
+    const auto callback = [this, readNumber, isWholeTable](const absl::StatusOr<KeyedPage> &page) {
+        readFinished(readNumber, page, isWholeTable);
     };
     if (isWholeTable) {
         m_log.readNewest(m_options.table, callback);
@@ -70,7 +70,7 @@
     readFailed(absl::DeadlineExceededError("the log did not answer in time"));
 }
 
-void TableFollower::readFinished(std::uint64_t read, const absl::StatusOr<KeyedPage> &page,
+void TableFollower::readFinished(std::uint64_t readNumber, const absl::StatusOr<KeyedPage> &page,
                                  bool isWholeTable)
 {
     if (page.ok()) {
@@ -79,7 +79,7 @@
         else
             m_table.merge(*page);
     }
-    if (read != m_currentRead)
+    if (readNumber != m_currentRead)
         return;
     if (!page.ok()) {
         readFailed(page.status());
--- a/modules/feed/table_follower.h
+++ b/modules/feed/table_follower.h
@@ -56,7 +56,8 @@
     SteadyTime m_answeredAt;  ///< When the log last answered a read; initially the construction.
 
     void read();
-    void readFinished(std::uint64_t read, const absl::StatusOr<KeyedPage> &page, bool isWholeTable);
+    void readFinished(std::uint64_t readNumber, const absl::StatusOr<KeyedPage> &page,
+                      bool isWholeTable);
     void readUnanswered();
     void readFailed(const absl::Status &status);
     void setReachable(bool reachable, const std::string &reason);
