Links: a frame that is nested without end does not end the process

One malformed frame of another node could take the whole process down: the CBOR decoder recurses, and the depth of a frame was checked only after it had been decoded. 100,000 bytes that each open an array overflow the stack. The same held for pages of the operator table.

Both codecs now call one check without recursion before they decode. It also rejects items of indefinite length and tags, which this project does not write and of which strings recurse too.

--- a/modules/fleet/message_codec.cpp
+++ b/modules/fleet/message_codec.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/cbor_nesting.h"
 #include "core/compression.h"
 #include "core/text.h"
 
@@ -11,7 +12,7 @@
 
 using nlohmann::json;
 
-constexpr int MaxNestingDepth = 8;
+constexpr std::size_t MaxNestingDepth = 8;
 constexpr std::size_t MaxUnpackedPageBytes = 64 * 1024 * 1024;
 
 json encodeBytes(const std::string &text)
@@ -389,20 +390,6 @@
     return message;
 }
 
-/** Returns whether arrays and objects are nested more than allowedDepth levels deep. */
-bool isTooDeep(const json &value, int allowedDepth)
-{
-    if (!value.is_structured())
-        return false;
-    if (allowedDepth == 0)
-        return true;
-    for (const json &element : value) {
-        if (isTooDeep(element, allowedDepth - 1))
-            return true;
-    }
-    return false;
-}
-
 } // namespace
 
 std::string packPage(const KeyedPage &page)
@@ -417,6 +404,8 @@
     const absl::StatusOr<std::string> plain = decompressBytes(packed, MaxUnpackedPageBytes);
     if (!plain.ok())
         return plain.status();
+    if (!isBoundedCbor(*plain, MaxNestingDepth))
+        return absl::InvalidArgumentError("the page is not CBOR or is nested too deeply");
     try {
         return decodePage(json::from_cbor(*plain));
     } catch (const json::exception &error) {
@@ -438,10 +427,10 @@
 
 absl::StatusOr<FleetMessage> decodeFleetMessage(const std::string &frame)
 {
+    if (!isBoundedCbor(frame, MaxNestingDepth))
+        return absl::InvalidArgumentError("the frame is not CBOR or is nested too deeply");
     try {
         const json envelope = json::from_cbor(frame);
-        if (isTooDeep(envelope, MaxNestingDepth))
-            return absl::InvalidArgumentError("the frame is nested too deeply");
         const std::size_t typeNumber = envelope.at(0).get<std::size_t>();
         if (typeNumber >= std::variant_size_v<FleetMessage>)
             return absl::InvalidArgumentError(joinText("unknown message type ", typeNumber));
--- a/modules/fleet/tests/test_fleet_codec.cpp
+++ b/modules/fleet/tests/test_fleet_codec.cpp
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 
+#include "core/compression.h"
 #include "core/random.h"
 #include "modules/fleet/message_codec.h"
 
@@ -87,4 +88,15 @@
     }
 }
 
+// Guards against one malformed frame of another node that ends the process: the library's decoder
+// recurses, so deep nesting overflows its stack.
+TEST_CASE("frames and pages that are nested without end are rejected")
+{
+    for (const char opening : {'\x81', '\x9f', '\xa1', '\x7f'}) {
+        const std::string nested(1'000'000, opening);
+        CHECK_FALSE(decodeFleetMessage(nested).ok());
+        CHECK_FALSE(unpackPage(compressBytes(nested)).ok());
+    }
+}
+
 } // namespace jacinthshift
--- a/modules/mesh/message_codec.cpp
+++ b/modules/mesh/message_codec.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "core/cbor_nesting.h"
 #include "core/text.h"
 
 namespace nlohmann {
@@ -169,33 +170,6 @@
 
 constexpr int MaxNestingDepth = 16;
 
-/**
- * Stops parsing a frame when its nesting is too deep. The library parses CBOR recursively, so a
- * frame that consists only of nested arrays would otherwise exhaust the stack.
- */
-class DepthCheck : public nlohmann::json_sax<json>
-{
-    int m_depth = 0;
-
-public:
-    bool null() override { return true; }
-    bool boolean(bool) override { return true; }
-    bool number_integer(number_integer_t) override { return true; }
-    bool number_unsigned(number_unsigned_t) override { return true; }
-    bool number_float(number_float_t, const string_t &) override { return true; }
-    bool string(string_t &) override { return true; }
-    bool binary(binary_t &) override { return true; }
-    bool key(string_t &) override { return true; }
-    bool start_object(std::size_t) override { return ++m_depth <= MaxNestingDepth; }
-    bool end_object() override { return --m_depth >= 0; }
-    bool start_array(std::size_t) override { return ++m_depth <= MaxNestingDepth; }
-    bool end_array() override { return --m_depth >= 0; }
-    bool parse_error(std::size_t, const std::string &, const nlohmann::detail::exception &) override
-    {
-        return false;
-    }
-};
-
 /** Decodes the alternative of Message with the given index. */
 template <std::size_t Index = 0>
 Message decodeAlternative(std::size_t index, const json &fields)
@@ -221,8 +195,7 @@
 
 absl::StatusOr<Message> decodeMessage(const std::string &frame)
 {
-    DepthCheck check;
-    if (!json::sax_parse(frame, &check, json::input_format_t::cbor))
+    if (!isBoundedCbor(frame, MaxNestingDepth))
         return absl::InvalidArgumentError("the frame is not CBOR or is nested too deeply");
     try {
         const json item = json::from_cbor(frame);
