Feed: a node that missed a removal learns of it from any other node

After a restart or a cut, a key that had been withdrawn stayed in use: a node that missed the removal and fetched records from a node that had first read the whole table after it got no record of the removal, so that an evacuation never ended there, or a failure domain stayed out of service.

A node now remembers up to which offset it read the table whole. Asked for records from an earlier offset, it sends the whole table, and the receiver treats missing keys as removed.

--- a/modules/feed/operator_table.cpp
+++ b/modules/feed/operator_table.cpp
@@ -38,13 +38,22 @@
             withRemovals.records.push_back(KeyedRecord{.key = key, .offset = page.endOffset - 1});
     }
     merge(withRemovals);
+    m_removalsKnownFrom = page.endOffset;
+}
+
+void OperatorTable::apply(const KeyedPage &page)
+{
+    if (page.isWholeTable)
+        replace(page);
+    else
+        merge(page);
 }
 
 KeyedPage OperatorTable::recordsFrom(std::uint64_t offset) const
 {
-    KeyedPage page{.endOffset = m_end};
+    KeyedPage page{.endOffset = m_end, .isWholeTable = offset < m_removalsKnownFrom};
     for (const auto &[key, record] : m_records) {
-        if (record.offset >= offset)
+        if (page.isWholeTable || record.offset >= offset)
             page.records.push_back(record);
     }
     std::sort(page.records.begin(), page.records.end(),
--- a/modules/feed/operator_table.h
+++ b/modules/feed/operator_table.h
@@ -26,6 +26,8 @@
 private:
     std::map<std::string, KeyedRecord> m_records;
     std::uint64_t m_end = 0; ///< See end().
+    /** Removals before this offset may be unknown: the table was read whole up to it. */
+    std::uint64_t m_removalsKnownFrom = 0;
     Listener m_listener;
 
 public:
@@ -42,7 +44,12 @@
      * ignored.
      */
     void replace(const KeyedPage &page);
-    /** Returns the newest records of keys from an offset on, including the removals merged here. */
+    /** Merges or replaces, depending on whether the page holds the whole table. */
+    void apply(const KeyedPage &page);
+    /**
+     * Returns the newest records of keys from an offset on, including removals. If this copy may
+     * lack removals after the offset, the page holds the whole table instead.
+     */
     KeyedPage recordsFrom(std::uint64_t offset) const;
     /** Returns the offset before which all records are known. */
     std::uint64_t end() const { return m_end; }
--- a/modules/feed/table_sync.cpp
+++ b/modules/feed/table_sync.cpp
@@ -121,7 +121,7 @@
         m_fetchPending = false;
         const absl::StatusOr<KeyedPage> page = unpackPage(records->packedPage);
         if (page.ok())
-            m_table.merge(*page);
+            m_table.apply(*page);
         else
             logEvent(Event::FrameRefused,
                      {{"peer", node}, {"reason", std::string(page.status().message())}});
--- a/modules/feed/tests/test_operator_table.cpp
+++ b/modules/feed/tests/test_operator_table.cpp
@@ -59,6 +59,36 @@
     }
 }
 
+// Guards against a failure domain that stays out of service, or a server that is used again, on
+// nodes that were cut off from the log while the key was removed.
+TEST_CASE("a node that missed a removal learns of it from a node that read the table after it")
+{
+    TableWithListener cutOff;
+    TableWithListener restarted;
+    cutOff.table.replace({.records = {record("config", "r1", 0), record("evacuate/a", "{}", 1)},
+                          .endOffset = 2});
+    // Offset 2 removed the key; the whole table does not show that.
+    restarted.table.replace({.records = {record("config", "r2", 3)}, .endOffset = 4});
+    cutOff.table.apply(restarted.table.recordsFrom(cutOff.table.end()));
+    CHECK(cutOff.received.back() == "evacuate/a=");
+    CHECK(cutOff.table.end() == 4);
+    SECTION("and passes the removal on")
+    {
+        TableWithListener third;
+        third.table.replace({.records = {record("config", "r1", 0), record("evacuate/a", "{}", 1)},
+                             .endOffset = 2});
+        third.table.apply(cutOff.table.recordsFrom(third.table.end()));
+        CHECK(third.received.back() == "evacuate/a=");
+    }
+    SECTION("later records travel alone again")
+    {
+        restarted.table.merge({.records = {record("config", "r3", 4)}, .endOffset = 5});
+        const KeyedPage later = restarted.table.recordsFrom(cutOff.table.end());
+        CHECK_FALSE(later.isWholeTable);
+        CHECK(later.records.size() == 1);
+    }
+}
+
 TEST_CASE("merging another node's records yields the same state, including removals")
 {
     TableWithListener first;
--- a/modules/fleet/message_codec.cpp
+++ b/modules/fleet/message_codec.cpp
@@ -128,12 +128,12 @@
     json records = json::array();
     for (const KeyedRecord &record : page.records)
         records.push_back({record.key, encodeBytes(record.value), record.offset});
-    return {page.endOffset, records};
+    return {page.endOffset, records, page.isWholeTable};
 }
 
 KeyedPage decodePage(const json &source)
 {
-    KeyedPage page{.endOffset = source.at(0)};
+    KeyedPage page{.endOffset = source.at(0), .isWholeTable = source.at(2)};
     for (const json &record : source.at(1)) {
         page.records.push_back(KeyedRecord{
                 .key = record.at(0), .value = decodeBytes(record.at(1)), .offset = record.at(2)});
--- a/servers/keyed_log.h
+++ b/servers/keyed_log.h
@@ -29,6 +29,8 @@
     std::vector<KeyedRecord> records;
     /** Where the next readFrom() continues: after the last record read, or the table's end. */
     std::uint64_t endOffset = 0;
+    /** The page holds every key of the table, so keys that it lacks were removed. */
+    bool isWholeTable = false;
 };
 
 /** Which records to read. */
