Test: responses whose head is cut off at any byte

Other operators saw a 200 with an empty body, framed as whole, after a backend server had stopped in the middle of its head. Here every cut of the head, of a body with a length and of a chunked body gives 'may have run'; the test passes without a change.

--- a/drivers/tests/test_http_clients.cpp
+++ b/drivers/tests/test_http_clients.cpp
@@ -57,9 +57,9 @@
         std::size_t written = 0;
         if (!response.empty())
             peer->socket.write(response.data(), response.size(), written);
-        else
+        if (response.empty() || closeAfterResponse)
             std::erase_if(m_peers, [peer](const auto &known) { return known.get() == peer; });
-        if (!response.empty() && !endlessPiece.empty())
+        else if (!endlessPiece.empty())
             peer->socket.waitWritable([this, peer] { writeEndlessly(peer); });
     }
 
@@ -84,6 +84,7 @@
 public:
     std::size_t requests = 0;
     std::string endlessPiece; ///< Sent after each response until the client closes.
+    bool closeAfterResponse = false;
 
     explicit ScriptedServer(std::vector<std::string> responses) : m_responses(std::move(responses))
     {
@@ -144,6 +145,29 @@
     CHECK(exchange(client, Endpoint{"127.0.0.1", 1}, "POST").verdict == Verdict::NotRun);
 }
 
+// Guards against a backend server that stops in the middle of its response's head and closes:
+// callers would get a complete 200 with an empty body.
+TEST_CASE("a response whose head is cut off at any byte is not a response")
+{
+    const std::string body = GENERATE(std::string("Content-Length: 2\r\n\r\nok"),
+                                      std::string("Transfer-Encoding: chunked\r\n\r\n2\r\nok"),
+                                      std::string("Connection: close\r\n\r\n"));
+    const std::string response = "HTTP/1.1 200 OK\r\nId: 1\r\nSeal: x\r\n" + body;
+    const std::size_t headSize = response.find("\r\n\r\n") + 4;
+    // Without a length, the end of the connection is the end of the body.
+    const bool endsWithConnection = body.starts_with("Connection");
+    const std::size_t lastCut = endsWithConnection ? headSize - 1 : response.size() - 1;
+    for (std::size_t cut = 1; cut <= lastCut; ++cut) {
+        ScriptedServer server({response.substr(0, cut)});
+        server.closeAfterResponse = true;
+        BeastHttpClient client({});
+        const HttpResult result = exchange(client, server.endpoint(), "GET");
+        CAPTURE(response.substr(0, cut));
+        CHECK(result.verdict == Verdict::MayHaveRun);
+        CHECK(result.failure != HttpFailure::None);
+    }
+}
+
 TEST_CASE("bytes beyond the end of a response are not used as the next response")
 {
     BeastHttpClient client({});
