Forwarder: a planned stop leaves no request without an answer

Requests that a stopping node takes late in the grace, up to 2.7 s after SIGTERM, may have more time than is left: with a grace of 6 s and a route's timeout of 4 s they were cut off without an answer when the process ended, also those that must not be repeated.

While it stops, a node gives new requests, and their backend servers, no more time than until shortly before its end. What is still open then is cancelled and answered as it stands.

A request that still waits at the owner on the same VM when its time is over is now reported as not run, which its caller may repeat, instead of 504.

--- a/modules/fleet/call_server.h
+++ b/modules/fleet/call_server.h
@@ -24,8 +24,11 @@
      * before this function returns, unless the request is cancelled.
      */
     virtual std::uint64_t run(const WorkRequest &work, Callback callback) = 0;
-    /** Cancels a request; its callback will not run. */
-    virtual void cancel(std::uint64_t id) = 0;
+    /**
+     * Cancels a request; its callback will not run. Returns whether the request certainly has not
+     * run and will not.
+     */
+    virtual bool cancel(std::uint64_t id) = 0;
     /** Returns the status that is reported to other nodes. */
     virtual BackendStatus status() const = 0;
 };
--- a/modules/fleet/tests/test_remote_calls.cpp
+++ b/modules/fleet/tests/test_remote_calls.cpp
@@ -27,7 +27,11 @@
         open[++lastId] = std::move(callback);
         return lastId;
     }
-    void cancel(std::uint64_t id) override { cancelled += static_cast<int>(open.erase(id)); }
+    bool cancel(std::uint64_t id) override
+    {
+        cancelled += static_cast<int>(open.erase(id));
+        return false;
+    }
     BackendStatus status() const override { return {.concurrencyLimit = 10, .running = 1}; }
 
     void finishAll()
--- a/modules/forwarding/forwarder.cpp
+++ b/modules/forwarding/forwarder.cpp
@@ -70,7 +70,7 @@
             Timer(m_timers, m_timers.startOnce(remainingTime(m_timers.now(), incoming->deadline),
                                                [this, weak] {
                                                    if (const RequestPointer active = weak.lock())
-                                                       timedOut(active);
+                                                       endForLackOfTime(active);
                                                }));
     tryNextOwner(incoming);
 }
@@ -130,6 +130,10 @@
         timeout = std::min(timeout, requested);
     }
     request.deadline = request.arrivedAt + timeout;
+    if (m_latestDeadline && request.deadline > *m_latestDeadline) {
+        request.deadline = std::max(*m_latestDeadline, request.arrivedAt);
+        timeout = remainingTime(request.arrivedAt, request.deadline);
+    }
     request.targetAt =
             request.arrivedAt + std::clamp(target - spent, std::chrono::milliseconds(0), timeout);
 }
@@ -337,14 +341,13 @@
     answer(request, refusal(StatusUnavailable, request->requestId, retryAfter, reason), reason);
 }
 
-void Forwarder::timedOut(const RequestPointer &request)
+void Forwarder::endForLackOfTime(const RequestPointer &request)
 {
     if (!request->owner.empty()) {
         recordAttempt(*request,
                       WorkResult{.verdict = Verdict::MayHaveRun, .refusal = WorkRefusal::TimedOut});
     }
     cancelCall(*request);
-    request->mayHaveRun = request->mayHaveRun || request->ownerAttempts > 0;
     request->lastRefusal = WorkRefusal::TimedOut;
     answerFailure(request);
 }
@@ -364,13 +367,22 @@
 {
     if (request.owner.empty())
         return;
+    bool hasNotRun = false;
     if (request.owner == m_options.node)
-        m_local.cancel(request.callId);
+        hasNotRun = m_local.cancel(request.callId);
     else
         m_remote.cancel(request.callId);
+    request.mayHaveRun = request.mayHaveRun || !hasNotRun;
     request.owner.clear();
 }
 
+void Forwarder::endOpenRequests()
+{
+    const std::unordered_map<std::uint64_t, RequestPointer> open = m_requests;
+    for (const auto &[id, request] : open)
+        endForLackOfTime(request);
+}
+
 HttpResponse Forwarder::refusal(int status, const std::string &requestId,
                                 std::chrono::milliseconds retryAfter, std::string_view reason) const
 {
--- a/modules/forwarding/forwarder.h
+++ b/modules/forwarding/forwarder.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -116,6 +117,7 @@
     std::unordered_map<std::uint64_t, RequestPointer> m_requests;
     std::uint64_t m_lastId = 0;
     bool m_stopping = false;
+    std::optional<SteadyTime> m_latestDeadline; ///< Of all requests; see setLatestDeadline().
 
     /**
      * Finds the route of a request and applies its settings. A request that cannot be forwarded is
@@ -135,9 +137,11 @@
     WorkRequest makeWorkRequest(const Request &request) const;
     void attemptEnded(const RequestPointer &request, const WorkResult &result);
     bool mayRetry(Request &request, const WorkResult &result);
-    void timedOut(const RequestPointer &request);
     void callerGone(const RequestPointer &request);
+    /** Cancels the current attempt and records whether it may have run. */
     void cancelCall(Request &request);
+    /** Cancels the current attempt of a request that has no time left, and answers it. */
+    void endForLackOfTime(const RequestPointer &request);
     /** Answers a request for which no further attempt is made. */
     void answerFailure(const RequestPointer &request);
     void logFailure(const Request &request, int status, std::string_view reason,
@@ -163,6 +167,13 @@
     /** Refuses all further requests; those in flight are still answered. */
     void stopAccepting() { m_stopping = true; }
     bool isStopping() const { return m_stopping; }
+    /**
+     * Sets the time by which requests that arrive from now on must end, whatever time their callers
+     * and routes allow. Backend servers are given no more time either.
+     */
+    void setLatestDeadline(SteadyTime latest) { m_latestDeadline = latest; }
+    /** Cancels all requests in flight and tells their callers what is known about each. */
+    void endOpenRequests();
     std::size_t openRequests() const { return m_requests.size(); }
 };
 
--- a/modules/forwarding/tests/test_forwarder.cpp
+++ b/modules/forwarding/tests/test_forwarder.cpp
@@ -21,6 +21,7 @@
     std::vector<WorkRequest> requests;
     std::vector<Callback> openCallbacks;
     int cancelled = 0;
+    bool hasNotStarted = false; ///< Whether cancelled requests have certainly not run.
     BackendStatus state{.availability = BackendAvailability::Ready,
                         .id = "i-local",
                         .service = "s",
@@ -36,7 +37,11 @@
             openCallbacks.push_back(std::move(callback));
         return requests.size();
     }
-    void cancel(std::uint64_t) override { ++cancelled; }
+    bool cancel(std::uint64_t) override
+    {
+        ++cancelled;
+        return hasNotStarted;
+    }
     BackendStatus status() const override { return state; }
 };
 
@@ -123,6 +128,13 @@
         forwarder.forward({.target = target, .headers = {{"Host", "h"}, {"Id", "r1"}}}, answer);
         return answer;
     }
+    /** Leaves only the local owner. */
+    void drainRemoteOwner()
+    {
+        remoteOwner.state.availability = BackendAvailability::Draining;
+        remoteNetwork.setStatus({.backend = remoteOwner.state}, StatusAudience::Everywhere);
+        timers.advance(milliseconds(10));
+    }
     std::size_t attempts() const { return local.requests.size() + remoteOwner.requests.size(); }
     void scriptBoth(const WorkResult &result)
     {
@@ -244,6 +256,50 @@
     CHECK(bench.local.cancelled + bench.remoteOwner.cancelled == 1);
 }
 
+TEST_CASE("a request that still waits at its owner at its timeout is reported as not run")
+{
+    ForwarderBench bench;
+    bench.drainRemoteOwner();
+    bench.local.hasNotStarted = true;
+    const auto answer = bench.send("/write/1");
+    bench.timers.advance(milliseconds(810));
+    REQUIRE(answer->response.has_value());
+    CHECK(answer->response->status == 503);
+}
+
+// Guards against requests that are taken late in the grace of a planned stop, passed on, and cut
+// off without an answer when the process ends.
+TEST_CASE("planned stop: a request that is taken late in the grace is answered before the end")
+{
+    ForwarderBench bench;
+    bench.drainRemoteOwner();
+    const auto before = bench.send("/write/1");
+    const SteadyTime end = bench.timers.now() + milliseconds(600);
+    bench.forwarder.setLatestDeadline(end);
+    bench.timers.advance(milliseconds(200));
+    const auto late = bench.send("/write/2");
+    REQUIRE(bench.local.requests.size() == 2);
+    CHECK(bench.local.requests.back().timeLeft == milliseconds(400));
+    bench.timers.advance(milliseconds(400));
+    REQUIRE(late->response.has_value());
+    CHECK(late->response->status == 504);
+    CHECK_FALSE(before->response.has_value());
+    SECTION("one that was there before the stop is answered at the end")
+    {
+        bench.forwarder.endOpenRequests();
+        REQUIRE(before->response.has_value());
+        CHECK(before->response->status == 504);
+    }
+    SECTION("one that has certainly not run is reported so")
+    {
+        bench.local.hasNotStarted = true;
+        bench.forwarder.endOpenRequests();
+        REQUIRE(before->response.has_value());
+        CHECK(before->response->status == 503);
+    }
+    CHECK(bench.forwarder.openRequests() == 0);
+}
+
 TEST_CASE("callers that leave early: their work is cancelled at once")
 {
     ForwarderBench bench;
--- a/modules/owner/backend_owner.cpp
+++ b/modules/owner/backend_owner.cpp
@@ -324,16 +324,16 @@
     return id;
 }
 
-void BackendOwner::cancel(std::uint64_t id)
+bool BackendOwner::cancel(std::uint64_t id)
 {
     const auto found = m_work.find(id);
     if (found == m_work.end())
-        return;
+        return false;
     const Work work = std::move(found->second);
     m_work.erase(found);
     if (work.startedAt == SteadyTime()) {
         m_admission.withdraw(id);
-        return;
+        return true;
     }
     m_client.cancel(work.call);
     // A cancellation counts against the backend server only if the target latency had passed; an
@@ -348,6 +348,7 @@
     }
     m_admission.finished(work.request.route, std::chrono::microseconds(0), m_timers.now());
     processQueue();
+    return false;
 }
 
 HttpRequest BackendOwner::buildBackendRequest(const Work &work,
--- a/modules/owner/backend_owner.h
+++ b/modules/owner/backend_owner.h
@@ -169,7 +169,7 @@
     void setBraked(bool braked);
 
     std::uint64_t run(const WorkRequest &workRequest, Callback callback) override;
-    void cancel(std::uint64_t id) override;
+    bool cancel(std::uint64_t id) override;
     BackendStatus status() const override;
 
     /** Returns the counts of the current backend server's requests by route. */
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -51,6 +51,8 @@
 constexpr std::chrono::milliseconds OwnerLeaveDelay{1'300};
 // The process ends this long before the platform kills it.
 constexpr std::chrono::milliseconds GraceMargin{400};
+// Requests that are still open this long before the process ends are answered as they stand.
+constexpr std::chrono::milliseconds LastAnswerTime{150};
 // File descriptors that are not for callers: links, backend server, log, listeners and files.
 constexpr std::uint32_t ReservedDescriptors = 1'200;
 // Share of the caller connections that are kept alive. The rest is for callers that were told to
@@ -463,6 +465,7 @@
     logEvent(Event::NodeStopping,
              {{"requests", forwarder.openRequests()}, {"work", owner.openRequests()}});
     callerServer.disableKeepAlive();
+    forwarder.setLatestDeadline(stoppingSince + settings.grace - GraceMargin - LastAnswerTime);
     shutdownTimer = Timer(
             timers, timers.startPeriodic(ShutdownCheckPeriod, [this] { continueShutdown(); }));
 }
@@ -478,6 +481,8 @@
         callerServer.stopListening();
         forwarder.stopAccepting();
     }
+    if (elapsed >= settings.grace - GraceMargin - LastAnswerTime)
+        forwarder.endOpenRequests();
     const std::size_t open = callerServer.openRequests() + owner.openRequests();
     const bool done = elapsed >= CallerCloseDelay && open == 0;
     if (!done && elapsed < settings.grace - GraceMargin)
