--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -200,7 +200,7 @@
     const bool ended = node.process.hasEnded();
     const SteadyTime now = m_timers.now();
     if (!ended) {
-        if (node.stopping && now - node.stopSentAt > StopGracePeriod) {
+        if (node.stopping && node.ranSinceStop(now) > StopGracePeriod) {
             reportIncident("graceful stop", node.name + " did not end in time");
             kill(node);
         }
@@ -212,6 +212,7 @@
     if (node.stopping)
         m_observations.disturbances[node.stopDisturbance].until = now;
     node.resumeTimer.stop();
+    node.frozenSince = SteadyTime();
     node.missedProbes = 2;
     node.restartTimer = Timer(m_timers, m_timers.startOnce(RestartDelay, [this, &node] {
         node.restartTimer.stop();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -1,6 +1,7 @@
 #ifndef TESTS_SOAK_SOAK_H
 #define TESTS_SOAK_SOAK_H
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -58,10 +59,20 @@
         bool expectedToEnd = false; ///< The soak killed it or asked it to stop.
         bool stopping = false;      ///< The soak has sent SIGTERM.
         SteadyTime stopSentAt;
-        std::size_t stopDisturbance = 0; ///< Index of its stop among the disturbances.
-        Timer resumeTimer;               ///< Ends a freeze.
+        std::size_t stopDisturbance = 0;             ///< Index of its stop among the disturbances.
+        Timer resumeTimer;                           ///< Ends a freeze.
+        SteadyTime frozenSince;                      ///< Zero while it is not frozen.
+        SteadyTime::duration frozenWhileStopping{0}; ///< By freezes that have ended.
         Timer restartTimer;
 
+        /** Returns how long it has been able to run since SIGTERM; a frozen node cannot end. */
+        SteadyTime::duration ranSinceStop(SteadyTime now) const
+        {
+            const SteadyTime::duration frozen = frozenSince == SteadyTime()
+                                                        ? SteadyTime::duration(0)
+                                                        : now - std::max(frozenSince, stopSentAt);
+            return now - stopSentAt - frozenWhileStopping - frozen;
+        }
         Endpoint callerEndpoint() const { return {address, 8080}; }
         Endpoint readinessEndpoint() const { return {address, 8081}; }
         Endpoint controlEndpoint() const { return {address, 8082}; }
@@ -143,6 +154,8 @@
     void beginBackendFault(const Fault &fault);
     void beginOperatorAction(const Fault &fault);
     void kill(SoakNode &node);
+    void freeze(SoakNode &node, std::chrono::milliseconds duration);
+    void unfreeze(SoakNode &node);
     void stop(SoakNode &node);
     /** Sends all rules and the extra fields to the relay, after the request in flight, if any. */
     void sendToRelay(const nlohmann::json &extra);
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -82,10 +82,27 @@
         return;
     node.expectedToEnd = true;
     node.stopping = false;
-    node.process.signal(SIGCONT);
+    unfreeze(node);
     node.process.signal(SIGKILL);
 }
 
+void Soak::freeze(SoakNode &node, std::chrono::milliseconds duration)
+{
+    node.process.signal(SIGSTOP);
+    if (node.frozenSince == SteadyTime())
+        node.frozenSince = m_timers.now();
+    node.resumeTimer =
+            Timer(m_timers, m_timers.startOnce(duration, [this, &node] { unfreeze(node); }));
+}
+
+void Soak::unfreeze(SoakNode &node)
+{
+    node.process.signal(SIGCONT);
+    if (node.frozenSince != SteadyTime() && node.stopping)
+        node.frozenWhileStopping += m_timers.now() - std::max(node.frozenSince, node.stopSentAt);
+    node.frozenSince = SteadyTime();
+}
+
 void Soak::stop(SoakNode &node)
 {
     if (node.process.hasEnded() || node.expectedToEnd)
@@ -93,6 +110,7 @@
     node.expectedToEnd = true;
     node.stopping = true;
     node.stopSentAt = m_timers.now();
+    node.frozenWhileStopping = SteadyTime::duration(0);
     node.stopDisturbance = m_observations.disturbances.size();
     // watchNode() ends the disturbance when the node has exited.
     recordDisturbance(
@@ -119,10 +137,7 @@
         break;
     case FaultKind::FreezeNode:
         recordDisturbance(fault, node.index);
-        node.process.signal(SIGSTOP);
-        node.resumeTimer = Timer(m_timers, m_timers.startOnce(fault.duration, [&node] {
-            node.process.signal(SIGCONT);
-        }));
+        freeze(node, fault.duration);
         break;
     case FaultKind::StopInTurn:
         for (std::size_t i = 0; i < m_nodes.size(); ++i)
