Large responses: in parts, at the rate that the VM's link carries, and admitted by it

A body was one frame on the link to its caller's node, so short results, status messages and the calls that other requests wait for stood behind up to ten bodies (0.6 s); owners judged by free slots only and went on admitting; 18% of the requests failed in calm, most of them requests that need a call answered by the same VMs, and 3,678 got 502 or 504 without having reached a backend server.

Ruled out: compression (bodies of 36 to 148 KB shrink by nothing; parts are sent uncompressed).

- Bodies from 8 KB on follow their result in parts of 16 KB, one body after the other, at 0.92 of the link's rate; all other messages are sent in between.
A link whose peer reads slowly gets no more than 64 KB at a time.
A lost link restarts the body over the next one, a cancelled call ends it.
- An owner knows the mean size and time of each route's responses and admits a request only if the link can send its response in time; the others are refused at once, as not run, with a hint.
A quarter of the target latency is left for callers that return, and what is late anyway waits for an idle link.
- Senders see the link's backlog in the owner's status and choose among owners by it.
- The protocol between nodes is 4.

--- a/drivers/websocket/websocket_link_transport.cpp
+++ b/drivers/websocket/websocket_link_transport.cpp
@@ -46,6 +46,13 @@
         return found == channels.end() ? nullptr : found->second;
     }
 
+    /** Returns a channel that can carry frames, or nullptr. */
+    ChannelPointer findOpen(LinkId id)
+    {
+        const ChannelPointer channel = find(id);
+        return channel != nullptr && channel->open && !channel->closed ? channel : nullptr;
+    }
+
     ChannelPointer addChannel(bool outgoing)
     {
         ChannelPointer channel = std::make_shared<Channel>();
@@ -259,11 +266,21 @@
 }
 
 bool WebsocketLinkTransport::send(LinkId link, const std::string &frame)
+{
+    const State::ChannelPointer channel = m_state->findOpen(link);
+    return channel != nullptr && channel->session->send(frame) && !channel->closed;
+}
+
+bool WebsocketLinkTransport::sendUncompressed(LinkId link, const std::string &frame)
+{
+    const State::ChannelPointer channel = m_state->findOpen(link);
+    return channel != nullptr && channel->session->sendUncompressed(frame) && !channel->closed;
+}
+
+std::size_t WebsocketLinkTransport::queuedBytes(LinkId link) const
 {
     const State::ChannelPointer channel = m_state->find(link);
-    if (channel == nullptr || !channel->open || channel->closed)
-        return false;
-    return channel->session->send(frame) && !channel->closed;
+    return channel == nullptr ? 0 : channel->output.size();
 }
 
 void WebsocketLinkTransport::setCompression(LinkId link, bool compressed)
--- a/drivers/websocket/websocket_link_transport.h
+++ b/drivers/websocket/websocket_link_transport.h
@@ -20,6 +20,8 @@
     absl::Status start(LinkObserver &observer) override;
     LinkId connect(const Endpoint &endpoint) override;
     bool send(LinkId link, const std::string &frame) override;
+    bool sendUncompressed(LinkId link, const std::string &frame) override;
+    std::size_t queuedBytes(LinkId link) const override;
     void setCompression(LinkId link, bool compressed) override;
     void close(LinkId link) override;
 };
--- a/drivers/websocket/websocket_session.cpp
+++ b/drivers/websocket/websocket_session.cpp
@@ -110,20 +110,25 @@
         m_connection->read_all(data, size);
     }
 
-    bool send(const std::string &frame) override
+    bool send(const std::string &frame) override { return sendFrame(frame, m_compressed); }
+
+    bool sendUncompressed(const std::string &frame) override { return sendFrame(frame, false); }
+
+    void setCompression(bool compressed) override { m_compressed = compressed; }
+
+    void handleDisconnect() override { m_connection->eof(); }
+
+private:
+    bool sendFrame(const std::string &frame, bool compressed)
     {
         if (!m_open)
             return false;
         const typename WebsocketEndpoint::message_ptr message =
                 m_connection->get_message(websocketpp::frame::opcode::binary, frame.size());
         message->append_payload(frame);
-        message->set_compressed(m_compressed);
+        message->set_compressed(compressed);
         return !m_connection->send(message);
     }
-
-    void setCompression(bool compressed) override { m_compressed = compressed; }
-
-    void handleDisconnect() override { m_connection->eof(); }
 };
 
 class AcceptingSession final : public SessionBase<Server>
--- a/drivers/websocket/websocket_session.h
+++ b/drivers/websocket/websocket_session.h
@@ -34,6 +34,8 @@
     virtual void processInput(const char *data, std::size_t size) = 0;
     /** Sends one binary message. Returns false when the session is not open. */
     virtual bool send(const std::string &frame) = 0;
+    /** Sends one binary message without compression. Returns false when the session is not open. */
+    virtual bool sendUncompressed(const std::string &frame) = 0;
     /** Sets whether later messages are compressed; they are not at first. */
     virtual void setCompression(bool compressed) = 0;
     /** Notifies the session that the underlying connection has ended. */
--- a/modules/fleet/call_server.cpp
+++ b/modules/fleet/call_server.cpp
@@ -1,12 +1,18 @@
 #include "modules/fleet/call_server.h"
 
+#include "core/logger.h"
 #include "core/text.h"
 
 namespace jacinthshift {
 
 CallServer::CallServer(const CallServerOptions &options, FleetNetwork &network,
                        TimerService &timers, WorkHandler &handler)
-    : m_options(options), m_network(network), m_timers(timers), m_handler(handler)
+    : m_options(options)
+    , m_network(network)
+    , m_timers(timers)
+    , m_handler(handler)
+    , m_parts(options.parts, network, timers)
+    , m_budget(options.budget)
 {
     network.addObserver(*this);
 }
@@ -34,7 +40,8 @@
     // A duplicate may arrive late over a link that the sender has abandoned.
     if (m_running.contains(key) || m_ended.contains(key))
         return;
-    m_running[key] = 0;
+    if (!reserveResponse(node, key, message.work))
+        return;
     const std::uint64_t id =
             m_handler.run(message.work, [this, node, key](const WorkResult &result) {
                 callFinished(node, key, result);
@@ -42,12 +49,50 @@
     // The handler may have finished the call before it returned the id.
     const auto running = m_running.find(key);
     if (running != m_running.end())
-        running->second = id;
+        running->second.id = id;
+}
+
+bool CallServer::reserveResponse(const std::string &node, const CallKey &key,
+                                 const WorkRequest &work)
+{
+    const ResponseBudget::Decision decision =
+            m_budget.offer(ResponseOffer{.route = work.route,
+                                         .isCallerRetry = work.isCallerRetry,
+                                         .targetTimeLeft = work.targetTimeLeft},
+                           m_parts.queuedBytes());
+    if (!decision.admitted) {
+        logEvent(Event::AdmissionRefused, {{"caller", node},
+                                           {"call", key.second},
+                                           {"route", work.route},
+                                           {"reason", refusalName(WorkRefusal::LinkBusy)},
+                                           {"backlog_ms", responseBacklog().count()},
+                                           {"target_left_ms", work.targetTimeLeft.count()},
+                                           {"left_ms", work.timeLeft.count()}});
+        callFinished(node, key,
+                     WorkResult{.verdict = Verdict::NotRun,
+                                .refusal = WorkRefusal::LinkBusy,
+                                .retryAfter = decision.retryAfter});
+        return false;
+    }
+    m_running[key] = RunningCall{.route = work.route,
+                                 .startedAt = m_timers.now(),
+                                 .reservedBytes = decision.reservedBytes};
+    return true;
 }
 
 void CallServer::callFinished(const std::string &node, const CallKey &key, const WorkResult &result)
 {
-    m_running.erase(key);
+    const auto running = m_running.find(key);
+    if (running != m_running.end()) {
+        const RunningCall &call = running->second;
+        m_budget.release(call.reservedBytes);
+        if (result.verdict == Verdict::Done) {
+            m_budget.recordResponse(call.route, result.response.body.size(),
+                                    std::chrono::duration_cast<std::chrono::milliseconds>(
+                                            m_timers.now() - call.startedAt));
+        }
+        m_running.erase(running);
+    }
     recordEndedCall(key, CallEnd::Finished);
     m_results[key] = result;
     m_resultExpiry.push_back(
@@ -58,16 +103,25 @@
 void CallServer::sendResult(const std::string &node, std::uint64_t call, const WorkResult &result)
 {
     const BackendStatus status = m_handler.status();
-    m_network.send(node,
-                   WorkResultMessage{.call = call,
-                                     .result = result,
-                                     .load = {.concurrencyLimit = status.concurrencyLimit,
-                                              .running = status.running,
-                                              .queued = status.queued,
-                                              .startsPerSecond = status.startsPerSecond,
-                                              .serviceTime = status.serviceTime,
-                                              .failuresPerThousand = status.failuresPerThousand,
-                                              .requestRateLimit = status.requestRateLimit}});
+    WorkResultMessage message{.call = call,
+                              .result = result,
+                              .load = {.concurrencyLimit = status.concurrencyLimit,
+                                       .running = status.running,
+                                       .queued = status.queued,
+                                       .startsPerSecond = status.startsPerSecond,
+                                       .serviceTime = status.serviceTime,
+                                       .failuresPerThousand = status.failuresPerThousand,
+                                       .requestRateLimit = status.requestRateLimit,
+                                       .responseBacklog = responseBacklog()}};
+    if (result.response.body.size() < m_options.budget.largeResponseBytes) {
+        m_network.send(node, message);
+        return;
+    }
+    const auto body = std::make_shared<const std::string>(
+            std::exchange(message.result.response.body, std::string()));
+    message.followingBodyBytes = body->size();
+    if (m_network.send(node, message))
+        m_parts.send(node, call, body);
 }
 
 void CallServer::resume(const std::string &node, const WorkResumeMessage &message)
@@ -103,11 +157,13 @@
     const CallKey key(callingProcess(node), call);
     const auto running = m_running.find(key);
     if (running == m_running.end()) {
+        m_parts.cancel(node, call);
         if (!m_ended.contains(key))
             recordEndedCall(key, CallEnd::Fenced);
         return;
     }
-    const std::uint64_t id = running->second;
+    const std::uint64_t id = running->second.id;
+    m_budget.release(running->second.reservedBytes);
     m_running.erase(running);
     recordEndedCall(key, CallEnd::Finished);
     m_handler.cancel(id);
--- a/modules/fleet/call_server.h
+++ b/modules/fleet/call_server.h
@@ -8,6 +8,8 @@
 #include <utility>
 
 #include "modules/fleet/fleet_network.h"
+#include "modules/fleet/part_sender.h"
+#include "modules/fleet/response_budget.h"
 
 namespace jacinthshift {
 
@@ -45,6 +47,8 @@
      */
     std::chrono::milliseconds endedCallRetention{120'000};
     std::size_t maxEndedCalls = 100'000;
+    PartSenderOptions parts;      ///< How large response bodies are sent.
+    ResponseBudgetOptions budget; ///< Which of them the link can send in time.
 };
 
 /**
@@ -61,6 +65,13 @@
         Finished, ///< It has run, was refused, or was cancelled while it ran.
         Fenced,   ///< Its result was requested, or it was cancelled, before it arrived.
     };
+    struct RunningCall
+    {
+        std::uint64_t id = 0; ///< Its id in the handler.
+        std::string route;
+        SteadyTime startedAt;
+        std::size_t reservedBytes = 0; ///< Of the response budget.
+    };
     struct ExpiryEntry
     {
         CallKey key;
@@ -71,7 +82,9 @@
     FleetNetwork &m_network;
     TimerService &m_timers;
     WorkHandler &m_handler;
-    std::map<CallKey, std::uint64_t> m_running; ///< Maps a call to its id in the handler.
+    PartSender m_parts;
+    ResponseBudget m_budget;
+    std::map<CallKey, RunningCall> m_running;
     std::map<CallKey, WorkResult> m_results;
     std::deque<ExpiryEntry> m_resultExpiry;
     std::map<CallKey, CallEnd> m_ended;
@@ -80,6 +93,8 @@
     /** Returns the node's name and incarnation, which identify the calling process. */
     std::string callingProcess(const std::string &node) const;
     void startCall(const std::string &node, const WorkCallMessage &message);
+    /** Returns whether the link has room for the call's response; refuses the call otherwise. */
+    bool reserveResponse(const std::string &node, const CallKey &key, const WorkRequest &work);
     void callFinished(const std::string &node, const CallKey &key, const WorkResult &result);
     void resume(const std::string &node, const WorkResumeMessage &message);
     void cancel(const std::string &node, std::uint64_t call);
@@ -99,6 +114,11 @@
 
     /** Returns the number of running calls. */
     std::size_t running() const { return m_running.size(); }
+    /** Returns how long the VM's link needs for the large responses that it is committed to. */
+    std::chrono::milliseconds responseBacklog() const
+    {
+        return m_budget.backlog(m_parts.queuedBytes());
+    }
 
     void messageReceived(const std::string &node, const FleetMessage &message) override;
     void linksChanged(const std::string &) override {}
--- a/modules/fleet/fleet_network.cpp
+++ b/modules/fleet/fleet_network.cpp
@@ -209,23 +209,51 @@
     }
 }
 
-bool FleetNetwork::send(const std::string &node, const FleetMessage &message)
+FleetPeer *FleetNetwork::findLinkedPeer(const std::string &node)
 {
     const auto found = m_peers.find(node);
-    if (found == m_peers.end() || found->second.links.empty())
+    return found == m_peers.end() || found->second.links.empty() ? nullptr : &found->second;
+}
+
+bool FleetNetwork::send(const std::string &node, const FleetMessage &message)
+{
+    FleetPeer *peer = findLinkedPeer(node);
+    if (peer == nullptr)
         return false;
-    found->second.lastSentAt = m_timers.now();
-    return transmit(found->second.links.back(), found->second, message,
-                    encodeFleetMessage(message));
+    peer->lastSentAt = m_timers.now();
+    return transmit(peer->links.back(), *peer, message, encodeFleetMessage(message));
 }
 
-bool FleetNetwork::transmit(LinkId link, const FleetPeer &peer, const FleetMessage &message,
-                            const std::string &frame)
+bool FleetNetwork::sendUncompressed(const std::string &node, const FleetMessage &message)
+{
+    FleetPeer *peer = findLinkedPeer(node);
+    if (peer == nullptr)
+        return false;
+    peer->lastSentAt = m_timers.now();
+    const std::string frame = encodeFleetMessage(message);
+    countFrame(*peer, message, frame);
+    return m_transport.sendUncompressed(peer->links.back(), frame);
+}
+
+std::size_t FleetNetwork::queuedBytes(const std::string &node) const
 {
-    const bool otherDomain = !isInOwnDomain(peer);
-    FrameCount &count = m_sentFrames.at(message.index()).at(otherDomain ? 1 : 0);
+    const FleetPeer *known = peer(node);
+    return known == nullptr || known->links.empty() ? 0
+                                                    : m_transport.queuedBytes(known->links.back());
+}
+
+void FleetNetwork::countFrame(const FleetPeer &peer, const FleetMessage &message,
+                              const std::string &frame)
+{
+    FrameCount &count = m_sentFrames.at(message.index()).at(isInOwnDomain(peer) ? 0 : 1);
     ++count.frames;
     count.bytes += frame.size();
+}
+
+bool FleetNetwork::transmit(LinkId link, const FleetPeer &peer, const FleetMessage &message,
+                            const std::string &frame)
+{
+    countFrame(peer, message, frame);
     return m_transport.send(link, frame);
 }
 
@@ -290,20 +318,26 @@
     if (const StatusMessage *status = std::get_if<StatusMessage>(&*message)) {
         updateStatus(peer, *status);
     } else if (const WorkResultMessage *result = std::get_if<WorkResultMessage>(&*message)) {
-        BackendStatus &backend = peer.status.backend;
-        backend.concurrencyLimit = result->load.concurrencyLimit;
-        backend.running = result->load.running;
-        backend.queued = result->load.queued;
-        backend.startsPerSecond = result->load.startsPerSecond;
-        backend.serviceTime = result->load.serviceTime;
-        backend.failuresPerThousand = result->load.failuresPerThousand;
-        backend.requestRateLimit = result->load.requestRateLimit;
-        peer.statusReceivedAt = m_timers.now();
+        updateLoad(peer, result->load);
     }
     for (FleetObserver *observer : m_observers)
         observer->messageReceived(node, *message);
 }
 
+void FleetNetwork::updateLoad(FleetPeer &peer, const BackendLoad &load)
+{
+    BackendStatus &backend = peer.status.backend;
+    backend.concurrencyLimit = load.concurrencyLimit;
+    backend.running = load.running;
+    backend.queued = load.queued;
+    backend.startsPerSecond = load.startsPerSecond;
+    backend.serviceTime = load.serviceTime;
+    backend.failuresPerThousand = load.failuresPerThousand;
+    backend.requestRateLimit = load.requestRateLimit;
+    backend.responseBacklog = load.responseBacklog;
+    peer.statusReceivedAt = m_timers.now();
+}
+
 void FleetNetwork::updateStatus(FleetPeer &peer, const StatusMessage &status)
 {
     peer.status = status;
--- a/modules/fleet/fleet_network.h
+++ b/modules/fleet/fleet_network.h
@@ -135,8 +135,13 @@
     void updateStatus(FleetPeer &peer, const StatusMessage &status);
     std::chrono::milliseconds silenceTimeout() const;
     void fetchContacts();
+    /** Returns a peer that has a link, or nullptr. */
+    FleetPeer *findLinkedPeer(const std::string &node);
+    /** Counts a frame that is sent to a peer. */
+    void countFrame(const FleetPeer &peer, const FleetMessage &message, const std::string &frame);
     bool transmit(LinkId link, const FleetPeer &peer, const FleetMessage &message,
                   const std::string &frame);
+    void updateLoad(FleetPeer &peer, const BackendLoad &load);
 
 public:
     FleetNetwork(const FleetNetworkOptions &options, LinkTransport &transport,
@@ -154,6 +159,10 @@
     void setStatus(const StatusMessage &status, StatusAudience audience);
     /** Sends on the newest link to a node. Returns false if it has none or the transport fails. */
     bool send(const std::string &node, const FleetMessage &message);
+    /** Like send(), but without compression; for content that it does not shrink. */
+    bool sendUncompressed(const std::string &node, const FleetMessage &message);
+    /** Returns the bytes that wait on the newest link to a node; zero if it has none. */
+    std::size_t queuedBytes(const std::string &node) const;
     /** Sends on the newest link to each peer that has one. */
     void broadcast(const FleetMessage &message);
 
--- a/modules/fleet/message_codec.cpp
+++ b/modules/fleet/message_codec.cpp
@@ -101,7 +101,8 @@
             status.braked,
             status.requestRateLimit,
             status.startedAt,
-            status.leaving};
+            status.leaving,
+            status.responseBacklog.count()};
 }
 
 BackendStatus decodeBackend(const json &source)
@@ -120,7 +121,8 @@
                          .serviceTime = decodeMilliseconds(source.at(8)),
                          .failuresPerThousand = source.at(9),
                          .braked = source.at(10),
-                         .requestRateLimit = source.at(11)};
+                         .requestRateLimit = source.at(11),
+                         .responseBacklog = decodeMilliseconds(source.at(14))};
 }
 
 json encodePage(const KeyedPage &page)
@@ -239,7 +241,9 @@
             message.load.startsPerSecond,
             message.load.serviceTime.count(),
             message.load.failuresPerThousand,
-            message.load.requestRateLimit};
+            message.load.requestRateLimit,
+            message.load.responseBacklog.count(),
+            message.followingBodyBytes};
 }
 
 void decode(const json &source, WorkResultMessage &message)
@@ -247,7 +251,7 @@
     WorkResult &result = message.result;
     source.at(0).get_to(message.call);
     result.verdict = decodeEnumerator(source.at(1), Verdict::MayHaveRun);
-    result.refusal = decodeEnumerator(source.at(2), WorkRefusal::RateLimited);
+    result.refusal = decodeEnumerator(source.at(2), WorkRefusal::LinkBusy);
     source.at(3).get_to(result.reachedBackend);
     result.retryAfter = decodeMilliseconds(source.at(4));
     source.at(5).get_to(result.response.status);
@@ -260,6 +264,20 @@
     message.load.serviceTime = decodeMilliseconds(source.at(12));
     source.at(13).get_to(message.load.failuresPerThousand);
     source.at(14).get_to(message.load.requestRateLimit);
+    message.load.responseBacklog = decodeMilliseconds(source.at(15));
+    source.at(16).get_to(message.followingBodyBytes);
+}
+
+json encode(const ResponsePartMessage &message)
+{
+    return {message.call, message.offset, encodeBytes(message.bytes)};
+}
+
+void decode(const json &source, ResponsePartMessage &message)
+{
+    source.at(0).get_to(message.call);
+    source.at(1).get_to(message.offset);
+    message.bytes = decodeBytes(source.at(2));
 }
 
 json encode(const WorkCancelMessage &message)
--- a/modules/fleet/messages.cpp
+++ b/modules/fleet/messages.cpp
@@ -6,10 +6,10 @@
 
 std::string_view refusalName(WorkRefusal refusal)
 {
-    static constexpr std::array<std::string_view, 14> Names = {
-            "none",      "no-backend", "full",        "draining",    "taken-out",
-            "braked",    "cold",       "unreachable", "rejected",    "lost",
-            "malformed", "timed-out",  "suspected",   "rate-limited"};
+    static constexpr std::array<std::string_view, 15> Names = {
+            "none",      "no-backend", "full",        "draining",     "taken-out",
+            "braked",    "cold",       "unreachable", "rejected",     "lost",
+            "malformed", "timed-out",  "suspected",   "rate-limited", "link-busy"};
     return Names.at(static_cast<std::size_t>(refusal));
 }
 
--- a/modules/fleet/messages.h
+++ b/modules/fleet/messages.h
@@ -28,7 +28,7 @@
 struct GreetingMessage
 {
     /** Version of the protocol; a link between different versions is closed. */
-    static constexpr std::uint32_t Protocol = 3;
+    static constexpr std::uint32_t Protocol = 4;
 
     std::uint32_t protocol = Protocol;
     NodeContact self;
@@ -61,6 +61,8 @@
     std::uint32_t failuresPerThousand = 0;    ///< Failures among the last requests.
     bool braked = false;           ///< Its version was found faulty and receives no new requests.
     double requestRateLimit = 0.0; ///< Requests per second that it asked for; zero for no limit.
+    /** Until the VM's link has sent the large responses that it is committed to. */
+    std::chrono::milliseconds responseBacklog{0};
 };
 
 /** A node's state, sent when it changes and as a heartbeat. */
@@ -110,6 +112,7 @@
     TimedOut,
     Suspected,   ///< The request has crashed backend servers.
     RateLimited, ///< More requests would exceed the rate that the backend server asked for.
+    LinkBusy,    ///< The VM's link could not send the large response in time.
 };
 
 /** The outcome of a request at its owner. */
@@ -139,6 +142,7 @@
     std::chrono::milliseconds serviceTime{0};
     std::uint32_t failuresPerThousand = 0;
     double requestRateLimit = 0.0;
+    std::chrono::milliseconds responseBacklog{0};
 };
 
 /** The result of a call, with the current load of the backend server. */
@@ -147,6 +151,16 @@
     std::uint64_t call = 0;
     WorkResult result;
     BackendLoad load;
+    /** Size of a response body that follows in parts; zero if the result holds the whole body. */
+    std::uint64_t followingBodyBytes = 0;
+};
+
+/** A part of the response body of a call; parts are sent in order after the result. */
+struct ResponsePartMessage
+{
+    std::uint64_t call = 0;
+    std::uint64_t offset = 0; ///< Position of the part in the body.
+    std::string bytes;
 };
 
 /** Cancels a call; no result is sent. */
@@ -233,7 +247,8 @@
         std::variant<GreetingMessage, StatusMessage, WorkCallMessage, WorkResultMessage,
                      WorkCancelMessage, WorkResumeMessage, TableFetchMessage, TableRecordsMessage,
                      VersionEvidenceMessage, CrashSuspectMessage, RolloutProgressMessage,
-                     ProbeMessage, ContactsFetchMessage, ContactsMessage>;
+                     ProbeMessage, ContactsFetchMessage, ContactsMessage, ResponsePartMessage,
+                     EvidenceBatchMessage>;
 
 /** Returns the name used in logs. */
 std::string_view refusalName(WorkRefusal refusal);
--- a/modules/fleet/remote_call_client.cpp
+++ b/modules/fleet/remote_call_client.cpp
@@ -125,15 +125,47 @@
 
 void RemoteCallClient::messageReceived(const std::string &node, const FleetMessage &message)
 {
-    const WorkResultMessage *result = std::get_if<WorkResultMessage>(&message);
-    if (result == nullptr)
+    if (const WorkResultMessage *result = std::get_if<WorkResultMessage>(&message))
+        resultReceived(node, *result);
+    else if (const ResponsePartMessage *part = std::get_if<ResponsePartMessage>(&message))
+        partReceived(node, *part);
+}
+
+RemoteCallClient::Call *RemoteCallClient::findCall(const std::string &node, std::uint64_t call)
+{
+    const auto found = m_calls.find(call);
+    return found == m_calls.end() || found->second.node != node ? nullptr : &found->second;
+}
+
+void RemoteCallClient::resultReceived(const std::string &node, const WorkResultMessage &message)
+{
+    Call *call = findCall(node, message.call);
+    if (call == nullptr) {
+        logEvent(Event::LateAnswerDropped, {{"peer", node}, {"call", message.call}});
         return;
-    const auto found = m_calls.find(result->call);
-    if (found == m_calls.end() || found->second.node != node) {
-        logEvent(Event::LateAnswerDropped, {{"peer", node}, {"call", result->call}});
+    }
+    if (message.followingBodyBytes == 0) {
+        finish(message.call, message.result);
         return;
     }
-    finish(result->call, result->result);
+    call->partialResult = std::make_unique<WorkResult>(message.result);
+    call->bodyBytes = message.followingBodyBytes;
+}
+
+void RemoteCallClient::partReceived(const std::string &node, const ResponsePartMessage &part)
+{
+    Call *call = findCall(node, part.call);
+    if (call == nullptr || call->partialResult == nullptr)
+        return;
+    std::string &body = call->partialResult->response.body;
+    // After a change of links, parts may arrive that belong before or after the ones received.
+    if (part.offset != body.size() || part.bytes.size() > call->bodyBytes - body.size())
+        return;
+    body += part.bytes;
+    if (body.size() < call->bodyBytes)
+        return;
+    const std::unique_ptr<WorkResult> result = std::move(call->partialResult);
+    finish(part.call, *result);
 }
 
 } // namespace jacinthshift
--- a/modules/fleet/remote_call_client.h
+++ b/modules/fleet/remote_call_client.h
@@ -2,6 +2,7 @@
 #define MODULES_FLEET_REMOTE_CALL_CLIENT_H
 
 #include <functional>
+#include <memory>
 #include <unordered_map>
 
 #include "modules/fleet/fleet_network.h"
@@ -38,6 +39,9 @@
         Callback callback;
         SteadyTime linkLostAt; ///< When the last link was lost; zero while there is one.
         bool idempotent = false;
+        /** A result whose body arrives in parts, with the parts received so far. */
+        std::unique_ptr<WorkResult> partialResult;
+        std::uint64_t bodyBytes = 0; ///< Size of that body when it is complete.
     };
 
     RemoteCallClientOptions m_options;
@@ -52,6 +56,10 @@
     /** Returns whether a call must fail. Probes its node if that has sent nothing lately. */
     bool hasTimedOut(const Call &call);
     void finish(std::uint64_t call, const WorkResult &result);
+    /** Returns a call to a node that waits for its result, or nullptr. */
+    Call *findCall(const std::string &node, std::uint64_t call);
+    void resultReceived(const std::string &node, const WorkResultMessage &message);
+    void partReceived(const std::string &node, const ResponsePartMessage &part);
     void resume(const std::string &node);
 
 public:
--- a/modules/fleet/tests/test_fleet_codec.cpp
+++ b/modules/fleet/tests/test_fleet_codec.cpp
@@ -53,6 +53,8 @@
             VersionEvidenceMessage{.service = "s", .routes = {{.route = "r"}}},
             CrashSuspectMessage{.fingerprint = ~0ULL, .backend = "b"},
             ProbeMessage{.reply = true},
+            EvidenceBatchMessage{.reports = {{.node = "n", .sequence = 4, .service = "s"}}},
+            ResponsePartMessage{.call = 3, .offset = 16, .bytes = std::string("\0\xff", 2)},
             RolloutProgressMessage{.step = 2, .outcome = RolloutOutcome::RolledBack}};
     for (const FleetMessage &message : messages) {
         INFO(message.index());
--- a/modules/forwarding/forwarder.cpp
+++ b/modules/forwarding/forwarder.cpp
@@ -155,24 +155,34 @@
     const std::optional<std::size_t> best = m_selector.choose(
             candidates,
             SelectionContext{.targetTimeLeft = remainingTime(m_timers.now(), request.targetAt),
-                             .routeFactor = routeFactor(request)});
+                             .routeFactor = routeFactor(request),
+                             .largeResponse = hasLargeResponse(request)});
     if (!best)
         return std::nullopt;
     return candidates[*best];
 }
 
-void Forwarder::recordResponseTime(const Request &request, std::chrono::microseconds time)
+void Forwarder::recordResponse(const Request &request, std::chrono::microseconds time,
+                               std::size_t bytes)
 {
     constexpr double SmoothingFactor = 0.05; // Weight of a new sample.
-    const double sample = static_cast<double>(time.count()) / 1'000.0;
-    const auto updateMean = [sample](std::unordered_map<std::string, double> &means,
-                                     const std::string &key) {
+    const auto updateMean = [](std::unordered_map<std::string, double> &means,
+                               const std::string &key, double sample) {
         const auto [mean, isNew] = means.try_emplace(key, sample);
         if (!isNew)
             mean->second += SmoothingFactor * (sample - mean->second);
     };
-    updateMean(m_routeMeanTimes, request.route);
-    updateMean(m_serviceMeanTimes, request.service);
+    const double milliseconds = static_cast<double>(time.count()) / 1'000.0;
+    updateMean(m_routeMeanTimes, request.route, milliseconds);
+    updateMean(m_serviceMeanTimes, request.service, milliseconds);
+    updateMean(m_routeMeanBytes, request.route, static_cast<double>(bytes));
+}
+
+bool Forwarder::hasLargeResponse(const Request &request) const
+{
+    const auto mean = m_routeMeanBytes.find(request.route);
+    return mean != m_routeMeanBytes.end()
+           && mean->second >= static_cast<double>(m_options.largeResponseBytes);
 }
 
 double Forwarder::routeFactor(const Request &request) const
@@ -270,8 +280,10 @@
         && (request->retryHint.count() == 0 || result.retryAfter < request->retryHint))
         request->retryHint = result.retryAfter;
     if (result.verdict == Verdict::Done && result.response.status < FirstServerError) {
-        recordResponseTime(*request, std::chrono::duration_cast<std::chrono::microseconds>(
-                                             m_timers.now() - request->attemptStartedAt));
+        recordResponse(*request,
+                       std::chrono::duration_cast<std::chrono::microseconds>(
+                               m_timers.now() - request->attemptStartedAt),
+                       result.response.body.size());
         answer(request, result.response, "answered");
         return;
     }
--- a/modules/forwarding/forwarder.h
+++ b/modules/forwarding/forwarder.h
@@ -29,6 +29,8 @@
     OwnerSelectorOptions selector;
     RetryLimits retries; ///< Limits for all nodes together.
     std::uint64_t randomSeed = 0;
+    /** Mean size from which the responses of a route wait for others on the owner's link. */
+    std::size_t largeResponseBytes = 8 * 1024;
     /** Maximum number of owners asked per request. Refusals put no load on a backend server. */
     std::uint32_t maxOwnerAttempts = 4;
     /**
@@ -114,6 +116,7 @@
     /** Mean response times in milliseconds. */
     std::unordered_map<std::string, double> m_routeMeanTimes;
     std::unordered_map<std::string, double> m_serviceMeanTimes;
+    std::unordered_map<std::string, double> m_routeMeanBytes; ///< Mean sizes of response bodies.
     std::unordered_map<std::uint64_t, RequestPointer> m_requests;
     std::uint64_t m_lastId = 0;
     bool m_stopping = false;
@@ -130,10 +133,11 @@
     void tryNextOwner(const RequestPointer &request);
     /** Adds the outcome of the current attempt to Request::attemptOutcomes. */
     void recordAttempt(Request &request, const WorkResult &result) const;
-    /** Updates the exponentially weighted mean response times of the route and the service. */
-    void recordResponseTime(const Request &request, std::chrono::microseconds time);
+    /** Updates the weighted means of the route's and the service's response times and sizes. */
+    void recordResponse(const Request &request, std::chrono::microseconds time, std::size_t bytes);
     /** Returns the route's mean response time as a multiple of its service's. */
     double routeFactor(const Request &request) const;
+    bool hasLargeResponse(const Request &request) const;
     WorkRequest makeWorkRequest(const Request &request) const;
     void attemptEnded(const RequestPointer &request, const WorkResult &result);
     bool mayRetry(Request &request, const WorkResult &result);
--- a/modules/forwarding/owner_selector.cpp
+++ b/modules/forwarding/owner_selector.cpp
@@ -28,7 +28,7 @@
 } // namespace
 
 double OwnerSelector::expectedTime(const OwnerCandidate &candidate, double fallbackServiceTime,
-                                   double routeFactor) const
+                                   const SelectionContext &context) const
 {
     const BackendStatus &backend = candidate.backend;
     const double serviceTimeMs = backend.serviceTime.count() > 0
@@ -36,10 +36,10 @@
                                          : fallbackServiceTime;
     const double limit = std::max(1.0, static_cast<double>(backend.concurrencyLimit));
     const double load = std::max(backend.running + backend.queued, candidate.outstanding);
-    double total = serviceTimeMs * routeFactor;
+    double total = serviceTimeMs * context.routeFactor;
     const double utilisation = load / limit;
     if (utilisation > m_options.slowdownUtilisation) {
-        total += serviceTimeMs * routeFactor * m_options.fullLoadPenalty
+        total += serviceTimeMs * context.routeFactor * m_options.fullLoadPenalty
                  * std::min(1.0, (utilisation - m_options.slowdownUtilisation)
                                          / (1.0 - m_options.slowdownUtilisation));
     }
@@ -48,6 +48,9 @@
         total += (backend.queued + 1.0) * MillisecondsPerSecond / backend.requestRateLimit;
     if (load >= limit)
         total += (load - limit + 1.0) * serviceTimeMs / limit;
+    // The link sends earlier responses while the backend server works on the request.
+    if (context.largeResponse)
+        total = std::max(total, static_cast<double>(backend.responseBacklog.count()));
     return total;
 }
 
@@ -55,7 +58,7 @@
                            const SelectionContext &context)
 {
     const double targetTimeLeft = static_cast<double>(context.targetTimeLeft.count());
-    const double expected = expectedTime(candidate, fallbackServiceTime, context.routeFactor);
+    const double expected = expectedTime(candidate, fallbackServiceTime, context);
     const double randomizedTime = expected * (1.0 + m_options.noise * m_random.uniform());
     const double failurePenalty = m_options.failureCost * targetTimeLeft
                                   * candidate.backend.failuresPerThousand / PerThousand;
--- a/modules/forwarding/owner_selector.h
+++ b/modules/forwarding/owner_selector.h
@@ -54,7 +54,8 @@
 struct SelectionContext
 {
     std::chrono::milliseconds targetTimeLeft{0}; ///< Time left of the target latency.
-    double routeFactor = 1.0; ///< The route's service time as a multiple of its service's mean.
+    double routeFactor = 1.0;   ///< The route's service time as a multiple of its service's mean.
+    bool largeResponse = false; ///< The response has to wait for other large ones on the link.
 };
 
 /** Chooses the owner with the lowest cost: expected response time plus penalties. */
@@ -68,7 +69,7 @@
      * for an owner that has not reported its service time.
      */
     double expectedTime(const OwnerCandidate &candidate, double fallbackServiceTime,
-                        double routeFactor) const;
+                        const SelectionContext &context) const;
     /** Returns the cost of a candidate in milliseconds. */
     double cost(const OwnerCandidate &candidate, double fallbackServiceTime,
                 const SelectionContext &context);
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -58,6 +58,9 @@
 // Share of the caller connections that are kept alive. The rest is for callers that were told to
 // retry, as these open new connections.
 constexpr double KeepAliveShare = 0.8;
+// Share of the VM's link for large responses to other nodes. The rest is for all other messages.
+constexpr double LargeResponseShare = 0.92;
+constexpr double BytesPerMegabit = 125'000.0;
 
 std::uint64_t currentUnixMilliseconds()
 {
@@ -180,6 +183,14 @@
                             .randomSeed = randomSeed};
 }
 
+/** Returns the options for the calls of other nodes to the backend server of this VM. */
+CallServerOptions workServerOptions(const MeshSettings &settings)
+{
+    const double bytesPerSecond = settings.linkMegabits * BytesPerMegabit * LargeResponseShare;
+    return CallServerOptions{.parts = {.bytesPerSecond = bytesPerSecond},
+                             .budget = {.bytesPerSecond = bytesPerSecond}};
+}
+
 } // namespace
 
 MeshNode::Components::Components(const MeshSettings &nodeSettings, const std::string &file)
@@ -204,7 +215,7 @@
                                 .headers = wire::headerNames(),
                                 .coldFactor = settings.coldFactor},
             backendHttp, timers, poison, *this)
-    , callServer(CallServerOptions{}, network, timers, owner)
+    , callServer(workServerOptions(settings), network, timers, owner)
     , remoteCallClient(RemoteCallClientOptions{}, network, timers)
     , rolloutRegister(storeClient)
     , rollouts(RolloutControllerOptions{.node = settings.node,
@@ -352,11 +363,12 @@
 
 void MeshNode::Components::publishStatus(StatusAudience audience)
 {
-    const StatusMessage status{.tableEnd = table.end(),
-                               .leaving = ownerLeaving,
-                               .readsLog = follower.isActive() && follower.isReachable(),
-                               .relayCapacity = computeRelayCapacity(settings),
-                               .backend = owner.status()};
+    StatusMessage status{.tableEnd = table.end(),
+                         .leaving = ownerLeaving,
+                         .readsLog = follower.isActive() && follower.isReachable(),
+                         .relayCapacity = computeRelayCapacity(settings),
+                         .backend = owner.status()};
+    status.backend.responseBacklog = callServer.responseBacklog();
     network.setStatus(status, audience);
 }
 
--- a/servers/link_transport.h
+++ b/servers/link_transport.h
@@ -52,6 +52,13 @@
     virtual LinkId connect(const Endpoint &endpoint) = 0;
     /** Queues a frame. Returns false if the link is not open or its send queue is full. */
     virtual bool send(LinkId link, const std::string &frame) = 0;
+    /**
+     * Queues a frame that is not compressed, for content that compression does not shrink. Returns
+     * false if the link is not open or its send queue is full.
+     */
+    virtual bool sendUncompressed(LinkId link, const std::string &frame) = 0;
+    /** Returns the bytes that wait for the peer to receive earlier ones; zero without a link. */
+    virtual std::size_t queuedBytes(LinkId link) const = 0;
     /** Sets whether frames sent on a link are compressed from now on; off by default. */
     virtual void setCompression(LinkId link, bool compressed) = 0;
     /** Closes a link at once; the observer is notified asynchronously. */
--- a/tests/studies/scale_study.cpp
+++ b/tests/studies/scale_study.cpp
@@ -33,6 +33,8 @@
     absl::Status start(LinkObserver &) override { return absl::OkStatus(); }
     LinkId connect(const Endpoint &) override { return static_cast<LinkId>(++m_lastLinkId); }
     bool send(LinkId, const std::string &) override { return false; }
+    bool sendUncompressed(LinkId, const std::string &) override { return false; }
+    std::size_t queuedBytes(LinkId) const override { return 0; }
     void setCompression(LinkId, bool) override {}
     void close(LinkId) override {}
 };
--- a/tests/support/fake_link_hub.h
+++ b/tests/support/fake_link_hub.h
@@ -30,6 +30,9 @@
     std::vector<std::function<void()>> heldFrames; ///< Frames on silenced links.
     std::uint64_t lastLinkId = 0;
     std::map<Endpoint, std::size_t> sentBytes; ///< Bytes sent, by the sender's listening address.
+    /** Bytes per second that a transport sends on all its links together; others have no limit. */
+    std::map<Endpoint, double> bandwidth;
+    std::map<Endpoint, SteadyTime> sendingUntil; ///< When all frames sent so far have left.
 
     /** Delivers the frames that were held back on silenced links, in order. */
     void deliverHeldFrames()
@@ -55,6 +58,20 @@
     LinkObserver *m_observer = nullptr;
     std::map<LinkId, RemoteEnd> m_links;
 
+    /** Returns how long a frame takes to its receiver, behind those sent before. */
+    std::chrono::milliseconds transmissionTime(std::size_t bytes)
+    {
+        const auto limit = m_hub.bandwidth.find(m_listen);
+        if (limit == m_hub.bandwidth.end())
+            return std::chrono::milliseconds(1);
+        const SteadyTime now = m_hub.timers.now();
+        SteadyTime &until = m_hub.sendingUntil[m_listen];
+        const std::chrono::duration<double> time(static_cast<double>(bytes) / limit->second);
+        until = std::max(until, now) + std::chrono::duration_cast<SteadyTime::duration>(time);
+        return std::chrono::ceil<std::chrono::milliseconds>(until - now)
+               + std::chrono::milliseconds(1);
+    }
+
     void schedule(std::function<void()> action)
     {
         m_hub.timers.startOnce(std::chrono::milliseconds(1), std::move(action));
@@ -103,12 +120,17 @@
             });
             return true;
         }
-        schedule([peer, frame] {
+        m_hub.timers.startOnce(transmissionTime(frame.size()), [peer, frame] {
             if (peer.transport->m_links.contains(peer.link))
                 peer.transport->m_observer->frameReceived(peer.link, frame);
         });
         return true;
     }
+    bool sendUncompressed(LinkId link, const std::string &frame) override
+    {
+        return send(link, frame);
+    }
+    std::size_t queuedBytes(LinkId) const override { return 0; }
     void setCompression(LinkId, bool) override {}
     void close(LinkId link) override
     {
