Links: bounded links between failure domains in a large mesh

From more than 100 nodes on, a node links to all of its own failure domain and, in each other one, to four per service, chosen by rendezvous weight: even, the same after a restart, and replaced when unreachable. Contacts carry service and relay capacity for that.

What had relied on links to all: evidence of rollouts goes on through two relays per failure domain, numbered so that it counts once; "the old version is idle" is told by each failure domain for itself; suspect requests are flooded. A mesh of up to 100 nodes works as before.

--- a/modules/fleet/fleet_network.cpp
+++ b/modules/fleet/fleet_network.cpp
@@ -1,6 +1,7 @@
 #include "modules/fleet/fleet_network.h"
 
 #include <algorithm>
+#include <functional>
 
 #include "core/logger.h"
 #include "core/text.h"
@@ -16,7 +17,11 @@
 
 FleetNetwork::FleetNetwork(const FleetNetworkOptions &options, LinkTransport &transport,
                            TimerService &timers)
-    : m_options(options), m_transport(transport), m_timers(timers), m_random(options.randomSeed)
+    : m_options(options)
+    , m_transport(transport)
+    , m_timers(timers)
+    , m_random(options.randomSeed)
+    , m_linkPlan(options.linkPlan)
 {
 }
 
@@ -51,12 +56,56 @@
 
 std::vector<NodeContact> FleetNetwork::contacts() const
 {
-    std::vector<NodeContact> linked;
+    std::vector<NodeContact> known;
     for (const auto &[node, peer] : m_peers) {
-        if (!peer.links.empty())
-            linked.push_back(peer.contact);
+        const bool untried = !peer.planned && !peer.dialFailed;
+        if (!peer.links.empty() || untried)
+            known.push_back(peer.contact);
+    }
+    return known;
+}
+
+bool FleetNetwork::isRelay() const
+{
+    const RelayRank own = relayRank(m_options.self);
+    const auto better = std::count_if(m_peers.begin(), m_peers.end(), [&](const auto &entry) {
+        const FleetPeer &peer = entry.second;
+        return isInOwnDomain(peer) && isReachable(peer) && !peer.status.leaving
+               && relayRank(peer.contact) > own;
+    });
+    return static_cast<std::size_t>(better) < m_options.relaysPerDomain;
+}
+
+std::vector<std::string> FleetNetwork::otherDomainRelays() const
+{
+    std::map<std::string, std::vector<std::pair<RelayRank, std::string>>> ranked;
+    for (const auto &[node, peer] : m_peers) {
+        if (!isInOwnDomain(peer) && isReachable(peer) && !peer.status.leaving)
+            ranked[peer.contact.domain].emplace_back(relayRank(peer.contact), node);
+    }
+    std::vector<std::string> relays;
+    for (auto &[domain, nodes] : ranked) {
+        std::sort(nodes.begin(), nodes.end(), std::greater<>());
+        nodes.resize(std::min(nodes.size(), m_options.relaysPerDomain));
+        for (const auto &[rank, node] : nodes)
+            relays.push_back(node);
+    }
+    return relays;
+}
+
+void FleetNetwork::updateLinkPlan()
+{
+    m_nextPlanUpdate = m_timers.now() + m_options.linkPlanPeriod;
+    std::vector<LinkPlanNode> nodes;
+    nodes.reserve(m_peers.size());
+    for (const auto &[node, peer] : m_peers) {
+        nodes.push_back(LinkPlanNode{.contact = &peer.contact,
+                                     .unreachable = peer.silent
+                                                    || (peer.links.empty() && peer.dialFailed)});
     }
-    return linked;
+    const std::set<std::string> chosen = m_linkPlan.choose(m_options.self, isRelay(), nodes);
+    for (auto &[node, peer] : m_peers)
+        peer.planned = chosen.contains(node);
 }
 
 const FleetPeer *FleetNetwork::peer(const std::string &node) const
@@ -67,8 +116,14 @@
 
 void FleetNetwork::addContacts(const std::vector<NodeContact> &contacts)
 {
+    bool changed = false;
     for (const NodeContact &contact : contacts)
-        updateContact(contact);
+        changed = updateContact(contact) || changed;
+    if (!changed)
+        return;
+    updateLinkPlan();
+    for (auto &[node, peer] : m_peers)
+        maintainLinks(peer);
 }
 
 void FleetNetwork::connectEndpoint(const Endpoint &linkEndpoint)
@@ -81,33 +136,45 @@
         m_transport.connect(linkEndpoint);
 }
 
-void FleetNetwork::updateContact(const NodeContact &contact)
+bool FleetNetwork::updateContact(const NodeContact &contact)
 {
     if (contact.node.empty() || contact.node == m_options.self.node
         || contact.linkEndpoint == m_options.self.linkEndpoint)
-        return;
+        return false;
     const auto [entry, isNew] = m_peers.try_emplace(contact.node);
     FleetPeer &peer = entry->second;
     if (!isNew && contact.incarnation <= peer.contact.incarnation)
-        return;
+        return false;
     peer.contact = contact;
+    peer.dialFailed = false;
     peer.redialDelay = m_options.initialRedialDelay;
     peer.nextDial = m_timers.now();
     peer.lastLinkedAt = m_timers.now();
     if (m_options.self.node > contact.node)
         peer.nextDial += m_options.dialTieBreakDelay;
-    else
-        maintainLinks(peer);
+    return true;
+}
+
+bool FleetNetwork::isExpired(FleetPeer &peer)
+{
+    if (!peer.links.empty() || peer.dialing != LinkId::None
+        || m_timers.now() - peer.lastLinkedAt <= m_options.unreachableRetention)
+        return false;
+    if (peer.planned || peer.dialFailed)
+        return true;
+    // Whether a node to which no link was planned still exists shows only when it is dialled.
+    dial(peer);
+    return false;
 }
 
 void FleetNetwork::tick()
 {
+    if (m_timers.now() >= m_nextPlanUpdate)
+        updateLinkPlan();
     for (auto entry = m_peers.begin(); entry != m_peers.end();) {
         FleetPeer &peer = entry->second;
         maintainLinks(peer);
-        const bool expired = peer.links.empty() && peer.dialing == LinkId::None
-                             && m_timers.now() - peer.lastLinkedAt > m_options.unreachableRetention;
-        entry = expired ? m_peers.erase(entry) : std::next(entry);
+        entry = isExpired(peer) ? m_peers.erase(entry) : std::next(entry);
     }
     if (m_timers.now() >= m_nextHeartbeat)
         sendHeartbeats();
@@ -157,7 +224,7 @@
         }
     }
     // A silent peer gets another link, since its present one may be dead.
-    const bool needsLink = peer.links.empty() || peer.silent;
+    const bool needsLink = peer.links.empty() ? peer.planned : peer.silent;
     if (needsLink && peer.dialing == LinkId::None && now >= peer.nextDial)
         dial(peer);
 }
@@ -361,7 +428,8 @@
         m_transport.close(link);
         return;
     }
-    FleetPeer &peer = m_peers[contact.node];
+    const auto [entry, isNew] = m_peers.try_emplace(contact.node);
+    FleetPeer &peer = entry->second;
     if (peer.contact.incarnation > contact.incarnation) {
         // The greeting is from an earlier process of a node that has been restarted since.
         m_transport.close(link);
@@ -374,6 +442,10 @@
         peer.status = StatusMessage();
     }
     peer.contact = contact;
+    peer.dialFailed = false;
+    // The plan for a mesh that grows is updated with the next tick.
+    if (isNew)
+        m_nextPlanUpdate = m_timers.now();
     peer.redialDelay = m_options.initialRedialDelay;
     if (peer.dialing == link)
         peer.dialing = LinkId::None;
@@ -403,8 +475,10 @@
     const std::string node = closed == m_links.end() ? std::string() : closed->second.node;
     m_links.erase(link);
     for (auto &[name, peer] : m_peers) {
-        if (peer.dialing == link)
+        if (peer.dialing == link) {
             peer.dialing = LinkId::None;
+            peer.dialFailed = true;
+        }
     }
     const auto found = m_peers.find(node);
     if (found == m_peers.end())
--- a/modules/fleet/fleet_network.h
+++ b/modules/fleet/fleet_network.h
@@ -11,6 +11,7 @@
 #include <absl/status/status.h>
 
 #include "core/random.h"
+#include "modules/fleet/link_plan.h"
 #include "modules/fleet/messages.h"
 #include "servers/link_transport.h"
 #include "servers/timer_service.h"
@@ -45,6 +46,10 @@
     std::chrono::milliseconds contactsFetchPeriod{2'000};
     /** Peers that could not be reached for longer are removed. */
     std::chrono::milliseconds unreachableRetention{600'000};
+    LinkPlanOptions linkPlan;
+    /** How often the link plan is updated, besides when a node becomes known. */
+    std::chrono::milliseconds linkPlanPeriod{1'000};
+    std::size_t relaysPerDomain = 2; ///< Nodes per failure domain that are relays.
 };
 
 /** One lifetime of a backend server. */
@@ -74,6 +79,8 @@
     bool hasStatus = false;        ///< Whether its current process has sent a status.
     std::vector<LinkId> links;     ///< Links that have exchanged greetings, the newest last.
     LinkId dialing = LinkId::None; ///< The link that is being opened.
+    bool planned = true;           ///< This node opens links to it, see LinkPlan.
+    bool dialFailed = false;       ///< The last attempt to connect has failed.
     SteadyTime dialingSince;
     SteadyTime nextDial;                      ///< Earliest time of the next attempt to connect.
     SteadyTime lastLinkedAt;                  ///< When it last had a link.
@@ -123,12 +130,19 @@
     std::array<std::array<FrameCount, 2>, std::variant_size_v<FleetMessage>> m_sentFrames{};
     SteadyTime m_nextHeartbeat;
     SteadyTime m_nextContactsFetch;
+    LinkPlan m_linkPlan;
+    SteadyTime m_nextPlanUpdate;
     Timer m_tickTimer;
 
     void tick();
     void maintainLinks(FleetPeer &peer);
     void dial(FleetPeer &peer);
-    void updateContact(const NodeContact &contact);
+    /** Returns whether the contact is new or of a newer process. */
+    bool updateContact(const NodeContact &contact);
+    /** Decides to which peers this node opens links. */
+    void updateLinkPlan();
+    /** Returns whether a peer without a link has not been reachable for too long. */
+    bool isExpired(FleetPeer &peer);
     void sendStatus();
     void sendHeartbeats();
     void handleGreeting(LinkId link, const GreetingMessage &greeting);
@@ -190,7 +204,16 @@
         return m_sentFrames.at(type).at(otherDomain);
     }
     const NodeContact &self() const { return m_options.self; }
-    /** Returns the contacts of all peers that have a link. */
+    /**
+     * Returns whether the mesh is too large for links to all nodes, so that messages for all have
+     * to be passed on.
+     */
+    bool needsRelays() const { return !m_linkPlan.isFullMesh(m_peers.size()); }
+    /** Returns whether this node passes messages on between the failure domains. */
+    bool isRelay() const;
+    /** Returns the reachable relays of the other failure domains. */
+    std::vector<std::string> otherDomainRelays() const;
+    /** Returns the contacts of all peers to which connecting has not failed. */
     std::vector<NodeContact> contacts() const;
 
     void linkOpened(LinkId link, bool outgoing) override;
--- a/modules/fleet/message_codec.cpp
+++ b/modules/fleet/message_codec.cpp
@@ -72,7 +72,8 @@
 
 json encodeContact(const NodeContact &contact)
 {
-    return {contact.node, contact.domain, contact.linkEndpoint.text(), contact.incarnation};
+    return {contact.node,        contact.domain,  contact.linkEndpoint.text(),
+            contact.incarnation, contact.service, contact.relayCapacity};
 }
 
 NodeContact decodeContact(const json &source)
@@ -83,7 +84,9 @@
     return NodeContact{.node = source.at(0),
                        .domain = source.at(1),
                        .linkEndpoint = *linkEndpoint,
-                       .incarnation = source.at(3)};
+                       .incarnation = source.at(3),
+                       .service = source.at(4),
+                       .relayCapacity = source.at(5)};
 }
 
 json encodeBackend(const BackendStatus &status)
@@ -325,7 +328,8 @@
     json routes = json::array();
     for (const VersionEvidence &evidence : message.routes)
         routes.push_back({evidence.route, encodeCounts(evidence.counts)});
-    return {message.service, message.version, message.backend, routes};
+    return {message.service, message.version,     message.backend, routes,
+            message.node,    message.incarnation, message.sequence};
 }
 
 void decode(const json &source, VersionEvidenceMessage &message)
@@ -337,6 +341,23 @@
         message.routes.push_back(
                 VersionEvidence{.route = route.at(0), .counts = decodeCounts(route.at(1))});
     }
+    source.at(4).get_to(message.node);
+    source.at(5).get_to(message.incarnation);
+    source.at(6).get_to(message.sequence);
+}
+
+json encode(const EvidenceBatchMessage &message)
+{
+    json reports = json::array();
+    for (const VersionEvidenceMessage &report : message.reports)
+        reports.push_back(encode(report));
+    return reports;
+}
+
+void decode(const json &source, EvidenceBatchMessage &message)
+{
+    for (const json &report : source)
+        decode(report, message.reports.emplace_back());
 }
 
 json encode(const CrashSuspectMessage &message)
@@ -352,8 +373,8 @@
 
 json encode(const RolloutProgressMessage &message)
 {
-    return {message.service, message.targetVersion, message.step,
-            static_cast<int>(message.outcome)};
+    return {message.service, message.targetVersion, message.step, static_cast<int>(message.outcome),
+            message.domainDone};
 }
 
 void decode(const json &source, RolloutProgressMessage &message)
@@ -362,6 +383,7 @@
     source.at(1).get_to(message.targetVersion);
     source.at(2).get_to(message.step);
     message.outcome = decodeEnumerator(source.at(3), RolloutOutcome::RolledBack);
+    source.at(4).get_to(message.domainDone);
 }
 
 json encode(const ProbeMessage &message)
--- a/modules/fleet/messages.h
+++ b/modules/fleet/messages.h
@@ -22,6 +22,9 @@
     std::string domain;
     Endpoint linkEndpoint;         ///< Address that accepts links of other nodes.
     std::uint64_t incarnation = 0; ///< Start time of the process in Unix milliseconds.
+    std::string service;           ///< The service of the VM's backend server.
+    /** Capacity of its VM for passing messages on; see StatusMessage::relayCapacity. */
+    std::uint32_t relayCapacity = 0;
 };
 
 /** The first message on a link, sent by both ends. */
@@ -200,12 +203,24 @@
 /** Request counts of an owner's backend server during a rollout of its service. */
 struct VersionEvidenceMessage
 {
+    std::string node;              ///< The owner's node.
+    std::uint64_t incarnation = 0; ///< Of the owner's process.
+    std::uint64_t sequence = 0;    ///< Increases with each report of the process.
     std::string service;
     std::string version;
     std::string backend; ///< Id of the backend server; the counts of a new one start at zero.
     std::vector<VersionEvidence> routes;
 };
 
+/**
+ * Reports of several owners, which a relay passes on to the relays of other failure domains, and
+ * these to the nodes of theirs.
+ */
+struct EvidenceBatchMessage
+{
+    std::vector<VersionEvidenceMessage> reports;
+};
+
 /** Reports a request that was running when a backend server crashed, or clears it. */
 struct CrashSuspectMessage
 {
@@ -240,6 +255,8 @@
     std::string targetVersion;
     std::uint32_t step = 0;
     RolloutOutcome outcome = RolloutOutcome::Open;
+    /** All reachable nodes of the sender's failure domain are done with the old version. */
+    bool domainDone = false;
 };
 
 /** The order of the alternatives defines their numbers on the wire. */
--- a/modules/forwarding/owner_directory.cpp
+++ b/modules/forwarding/owner_directory.cpp
@@ -57,6 +57,9 @@
 {
     const BackendStatus &backend = entry.backend;
     const bool hasStatus = entry.peer == nullptr || entry.peer->hasStatus;
+    if (!hasStatus && !entry.peer->contact.service.empty()
+        && entry.peer->contact.service != query.service)
+        return Exclusion::OtherService;
     if (hasStatus && !backend.service.empty() && backend.service != query.service)
         return Exclusion::OtherService;
     if (std::find(query.triedNodes.begin(), query.triedNodes.end(), entry.node)
--- a/modules/rollout/rollout_controller.cpp
+++ b/modules/rollout/rollout_controller.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 #include "core/hash.h"
 #include "core/logger.h"
@@ -102,9 +103,12 @@
 void RolloutController::messageReceived(const std::string &node, const FleetMessage &message)
 {
     if (const VersionEvidenceMessage *report = std::get_if<VersionEvidenceMessage>(&message)) {
-        const auto found = m_rollouts.find(report->service);
-        if (found != m_rollouts.end())
-            found->second->judge.addReport(node, *report);
+        addReport(node, *report);
+        return;
+    }
+    if (const EvidenceBatchMessage *batch = std::get_if<EvidenceBatchMessage>(&message)) {
+        for (const VersionEvidenceMessage &report : batch->reports)
+            addReport(node, report);
         return;
     }
     const RolloutProgressMessage *progress = std::get_if<RolloutProgressMessage>(&message);
@@ -117,10 +121,52 @@
         m_earlyProgress[progress->service] = *progress;
 }
 
+void RolloutController::addReport(const std::string &sender, const VersionEvidenceMessage &report)
+{
+    const auto found = m_rollouts.find(report.service);
+    if (found == m_rollouts.end() || !found->second->judge.addReport(report)
+        || !m_network.needsRelays())
+        return;
+    const FleetPeer *peer = m_network.peer(sender);
+    if (peer == nullptr)
+        return;
+    // Reports of the own domain go to the others. Relays of other domains send theirs to relays
+    // only, so what comes from there is passed on to the own domain.
+    if (!m_network.isInOwnDomain(*peer))
+        m_reportsForOwnDomain[report.node] = report;
+    else if (sender == report.node)
+        m_reportsForOtherDomains[report.node] = report;
+}
+
+void RolloutController::relayEvidence()
+{
+    const auto takeBatch = [](std::map<std::string, VersionEvidenceMessage> &reports) {
+        EvidenceBatchMessage batch;
+        for (auto &[node, report] : std::exchange(reports, {}))
+            batch.reports.push_back(std::move(report));
+        return batch;
+    };
+    const EvidenceBatchMessage ownDomain = takeBatch(m_reportsForOwnDomain);
+    const EvidenceBatchMessage otherDomains = takeBatch(m_reportsForOtherDomains);
+    if ((ownDomain.reports.empty() && otherDomains.reports.empty()) || !m_network.isRelay())
+        return;
+    if (!otherDomains.reports.empty()) {
+        for (const std::string &relay : m_network.otherDomainRelays())
+            m_network.send(relay, otherDomains);
+    }
+    if (!ownDomain.reports.empty()) {
+        for (const auto &[node, peer] : m_network.peers()) {
+            if (m_network.isInOwnDomain(peer))
+                m_network.send(node, ownDomain);
+        }
+    }
+}
+
 void RolloutController::applyPeerProgress(Rollout &rollout, const RolloutProgressMessage &progress,
                                           const std::string &source)
 {
-    rollout.peerSteps[source] = progress.step;
+    rollout.peerProgress[source] = {
+            .step = progress.step, .domainDone = progress.domainDone, .receivedAt = m_timers.now()};
     if (rollout.outcome != RolloutOutcome::Open)
         return;
     if (progress.outcome != RolloutOutcome::Open)
@@ -134,6 +180,7 @@
     if (m_rollouts.empty())
         return;
     broadcastEvidence();
+    relayEvidence();
     for (const auto &[service, rollout] : std::map<std::string, RolloutPointer>(m_rollouts)) {
         if (rollout->outcome == RolloutOutcome::Open) {
             advance(*rollout);
@@ -151,11 +198,14 @@
     const auto found = m_rollouts.find(backend.service);
     if (found == m_rollouts.end() || found->second->outcome != RolloutOutcome::Open)
         return;
-    const VersionEvidenceMessage report{.service = backend.service,
+    const VersionEvidenceMessage report{.node = m_options.node,
+                                        .incarnation = m_network.self().incarnation,
+                                        .sequence = ++m_reportSequence,
+                                        .service = backend.service,
                                         .version = backend.version,
                                         .backend = backend.id,
                                         .routes = m_owner.evidence()};
-    found->second->judge.addReport(m_options.node, report);
+    found->second->judge.addReport(report);
     std::uint64_t requests = 0;
     for (const VersionEvidence &route : report.routes)
         requests += route.counts.requests;
@@ -168,6 +218,8 @@
     m_broadcastRequests = requests;
     m_nextEvidenceBroadcast = m_timers.now() + m_network.heartbeatPeriod() * 2;
     m_network.broadcast(report);
+    if (m_network.needsRelays())
+        m_reportsForOtherDomains[report.node] = report;
 }
 
 void RolloutController::advance(Rollout &rollout)
@@ -238,7 +290,9 @@
     return RolloutProgressMessage{.service = rollout.order.service,
                                   .targetVersion = rollout.order.targetVersion,
                                   .step = rollout.step,
-                                  .outcome = rollout.outcome};
+                                  .outcome = rollout.outcome,
+                                  .domainDone = m_network.needsRelays()
+                                                && areLinkedNodesDone(rollout, true)};
 }
 
 void RolloutController::updateOwner()
@@ -275,6 +329,27 @@
 
 bool RolloutController::isOldVersionIdle(const Rollout &rollout) const
 {
+    if (!areLinkedNodesDone(rollout, false))
+        return false;
+    if (!m_network.needsRelays())
+        return true;
+    std::map<std::string, bool> doneByDomain; // The other domains to which there is a link.
+    for (const auto &[node, peer] : m_network.peers()) {
+        if (m_network.isInOwnDomain(peer) || !m_network.isReachable(peer))
+            continue;
+        const auto progress = rollout.peerProgress.find(node);
+        const bool done = progress != rollout.peerProgress.end() && progress->second.domainDone
+                          && progress->second.receivedAt >= rollout.stepStartedAt;
+        doneByDomain[peer.contact.domain] = doneByDomain[peer.contact.domain] || done;
+    }
+    return std::all_of(doneByDomain.begin(), doneByDomain.end(),
+                       [](const auto &domain) { return domain.second; });
+}
+
+bool RolloutController::areLinkedNodesDone(const Rollout &rollout, bool ownDomainOnly) const
+{
+    if (rollout.step < LastStep)
+        return false;
     const auto idle = [&rollout](const BackendStatus &backend) {
         const bool runsOldVersion = backend.service == rollout.order.service
                                     && backend.version != rollout.order.targetVersion;
@@ -283,10 +358,10 @@
     if (!idle(m_owner.status()))
         return false;
     for (const auto &[node, peer] : m_network.peers()) {
-        if (!m_network.isReachable(peer))
+        if (!m_network.isReachable(peer) || (ownDomainOnly && !m_network.isInOwnDomain(peer)))
             continue;
-        const auto step = rollout.peerSteps.find(node);
-        if (step == rollout.peerSteps.end() || step->second < LastStep)
+        const auto progress = rollout.peerProgress.find(node);
+        if (progress == rollout.peerProgress.end() || progress->second.step < LastStep)
             return false;
         if (!idle(peer.status.backend) || peer.statusReceivedAt < rollout.stepStartedAt)
             return false;
--- a/modules/rollout/rollout_controller.h
+++ b/modules/rollout/rollout_controller.h
@@ -63,6 +63,12 @@
  */
 class RolloutController final : public VersionPolicy, public FleetObserver
 {
+    struct PeerProgress
+    {
+        std::uint32_t step = 0;
+        bool domainDone = false; ///< See RolloutProgressMessage.
+        SteadyTime receivedAt;
+    };
     /** The state of the rollout of one service. */
     struct Rollout
     {
@@ -86,7 +92,7 @@
         bool startWritten = false; ///< The register has an entry for this order.
         SteadyTime writeDueSince;  ///< When a write became due; zero if none is due.
         SteadyTime nextRegisterCall;
-        std::map<std::string, std::uint32_t> peerSteps; ///< The last step reported, by node.
+        std::map<std::string, PeerProgress> peerProgress; ///< The last report, by node.
         SteadyTime announcedAt;
     };
     using RolloutPointer = std::shared_ptr<Rollout>;
@@ -101,6 +107,10 @@
     /** Progress messages received before the order that they belong to, by service. */
     std::map<std::string, RolloutProgressMessage> m_earlyProgress;
     std::uint64_t m_broadcastRequests = 0; ///< Requests counted in the last evidence broadcast.
+    std::uint64_t m_reportSequence = 0;    ///< Of the last evidence broadcast.
+    /** Reports of owners that wait to be passed on, the newest by owner. */
+    std::map<std::string, VersionEvidenceMessage> m_reportsForOtherDomains;
+    std::map<std::string, VersionEvidenceMessage> m_reportsForOwnDomain;
     SteadyTime m_nextEvidenceBroadcast;
     Timer m_tick;
 
@@ -109,12 +119,19 @@
     void setStep(Rollout &rollout, std::uint32_t step);
     void end(Rollout &rollout, RolloutOutcome outcome, const std::string &reason);
     void broadcastEvidence();
+    /** Takes an owner's report from it or from a relay, and passes it on if this is a relay. */
+    void addReport(const std::string &sender, const VersionEvidenceMessage &report);
+    /** Passes collected reports on to the other failure domains and within the own one. */
+    void relayEvidence();
     void updateOwner();
     /**
      * Returns whether all reachable peers are at the last step and no owner has running or queued
-     * requests to the old version.
+     * requests to the old version, as far as this node has links; of other failure domains, their
+     * nodes tell.
      */
     bool isOldVersionIdle(const Rollout &rollout) const;
+    /** Returns the same for this node and the linked peers; optionally of its own domain only. */
+    bool areLinkedNodesDone(const Rollout &rollout, bool ownDomainOnly) const;
     bool isTargetReady(const Rollout &rollout) const;
     /** Returns how many reachable nodes write to the register before this node. */
     std::size_t rank(const Rollout &rollout) const;
--- a/modules/rollout/rollout_judge.cpp
+++ b/modules/rollout/rollout_judge.cpp
@@ -5,11 +5,17 @@
 
 namespace jacinthshift {
 
-void RolloutJudge::addReport(const std::string &node, const VersionEvidenceMessage &report)
+bool RolloutJudge::addReport(const VersionEvidenceMessage &report)
 {
-    Reporter &reporter = m_reporters[node];
+    const auto [entry, isNew] = m_reporters.try_emplace(report.node);
+    Reporter &reporter = entry->second;
+    const std::pair position(report.incarnation, report.sequence);
+    if (!isNew && position <= reporter.position)
+        return false;
+    reporter.position = position;
     if (reporter.backend != report.backend) {
-        reporter = Reporter{.backend = report.backend, .routes = {}};
+        reporter.backend = report.backend;
+        reporter.routes.clear();
     }
     const bool candidate = report.version == m_targetVersion;
     for (const VersionEvidence &evidence : report.routes) {
@@ -29,6 +35,7 @@
             detector.add(delta, ArmEvidence());
         }
     }
+    return true;
 }
 
 std::string RolloutJudge::fault() const
--- a/modules/rollout/rollout_judge.h
+++ b/modules/rollout/rollout_judge.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <string>
+#include <utility>
 
 #include "modules/fleet/messages.h"
 #include "modules/release/fault_detector.h"
@@ -15,9 +16,10 @@
  */
 class RolloutJudge
 {
-    /** The last counts that a node reported for its backend server. */
+    /** The last report of an owner. */
     struct Reporter
     {
+        std::pair<std::uint64_t, std::uint64_t> position; ///< Incarnation and sequence.
         std::string backend;
         std::map<std::string, ArmEvidence> routes;
     };
@@ -35,10 +37,11 @@
     }
 
     /**
-     * Adds the requests counted since the node's last report. Reports hold cumulative counts, which
-     * start from zero for a new backend server and a restarted owner.
+     * Adds the requests counted since the owner's last report. Reports hold cumulative counts,
+     * which start from zero for a new backend server and a restarted owner. Returns false for a
+     * report that is not newer than the last one: reports can arrive on several ways.
      */
-    void addReport(const std::string &node, const VersionEvidenceMessage &report);
+    bool addReport(const VersionEvidenceMessage &report);
 
     /** Returns a description of the fault found, or an empty text. */
     std::string fault() const;
--- a/modules/rollout/tests/test_rollout_controller.cpp
+++ b/modules/rollout/tests/test_rollout_controller.cpp
@@ -1,5 +1,9 @@
 #include <catch2/catch.hpp>
 
+#include <memory>
+#include <vector>
+
+#include "core/text.h"
 #include "modules/rollout/rollout_controller.h"
 #include "tests/support/fake_http_client.h"
 #include "tests/support/fake_link_hub.h"
@@ -53,9 +57,15 @@
     RolloutController controller;
 
     RolloutNode(FakeLinkHub &hub, FakeRegister &rolloutRegister, const std::string &name,
-                std::uint16_t port)
+                std::uint16_t port, const std::string &domain = "d",
+                const LinkPlanOptions &linkPlan = {})
         : transport(hub, {"127.0.0.1", port})
-        , network({.self = {.node = name, .domain = "d", .linkEndpoint = {"127.0.0.1", port}}},
+        , network({.self = {.node = name,
+                            .domain = domain,
+                            .linkEndpoint = {"127.0.0.1", port},
+                            .service = "s"},
+                   .randomSeed = port,
+                   .linkPlan = linkPlan},
                   transport, hub.timers)
         , owner({.node = name, .service = "s"}, http, hub.timers, poison, observer)
         , controller({.node = name}, network, hub.timers, rolloutRegister, owner)
@@ -64,6 +74,50 @@
     }
 };
 
+/** Nodes of three failure domains that have links to few nodes of the others. */
+struct LargeMesh
+{
+    ManualTimerService timers;
+    FakeLinkHub hub{timers};
+    FakeRegister rolloutRegister;
+    std::vector<std::unique_ptr<RolloutNode>> nodes;
+
+    LargeMesh()
+    {
+        std::vector<NodeContact> contacts;
+        for (std::uint16_t port = 1; port <= 36; ++port) {
+            const std::string domain = joinText("d", port % 3);
+            nodes.push_back(std::make_unique<RolloutNode>(
+                    hub, rolloutRegister, joinText(domain, "-", port), port, domain,
+                    LinkPlanOptions{.fullMeshNodes = 10, .linksPerService = 1}));
+            contacts.push_back(nodes.back()->network.self());
+        }
+        for (const std::unique_ptr<RolloutNode> &node : nodes)
+            node->network.addContacts(contacts);
+        timers.advance(milliseconds(2'000));
+    }
+
+    /**
+     * Lets a node report requests to the new version of which all failed, to the nodes of its own
+     * failure domain: it may have no link to a node that has links to the other reporters.
+     */
+    void reportFailures(std::size_t index, std::uint64_t requests)
+    {
+        RolloutNode &node = *nodes.at(index);
+        const VersionEvidenceMessage report{
+                .node = node.network.self().node,
+                .sequence = 1,
+                .service = "s",
+                .version = "v2",
+                .backend = "i",
+                .routes = {{.route = "r", .counts = {.requests = requests, .failures = requests}}}};
+        for (const auto &[name, peer] : node.network.peers()) {
+            if (node.network.isInOwnDomain(peer))
+                node.network.send(name, report);
+        }
+    }
+};
+
 const RolloutOrder rolloutToV2{
         .service = "s", .targetVersion = "v2", .duration = milliseconds(15'000)};
 
@@ -112,4 +166,24 @@
         CHECK(node.controller.chooseVersion("s").excludedVersion == "v2");
 }
 
+// Guards against evidence that stays in the failure domain in which it was found, in a mesh whose
+// nodes do not link to all others.
+TEST_CASE("large mesh: failures spread over three failure domains are added up on every node")
+{
+    LargeMesh mesh;
+    for (const std::unique_ptr<RolloutNode> &node : mesh.nodes)
+        node->controller.setOrder(rolloutToV2, 1);
+    // No two of the three reports are enough for a verdict.
+    mesh.reportFailures(0, 2);
+    mesh.timers.advance(milliseconds(1'000));
+    mesh.reportFailures(1, 2);
+    mesh.timers.advance(milliseconds(1'000));
+    REQUIRE(mesh.rolloutRegister.entry.outcome == RolloutOutcome::Open);
+    mesh.reportFailures(2, 2);
+    mesh.timers.advance(milliseconds(1'000));
+    for (const std::unique_ptr<RolloutNode> &node : mesh.nodes)
+        CHECK(node->controller.chooseVersion("s").excludedVersion == "v2");
+    CHECK(mesh.rolloutRegister.entry.outcome == RolloutOutcome::RolledBack);
+}
+
 } // namespace jacinthshift
--- a/modules/rollout/tests/test_rollout_judge.cpp
+++ b/modules/rollout/tests/test_rollout_judge.cpp
@@ -23,6 +23,7 @@
                          double serviceTimeMilliseconds)
     {
         VersionEvidenceMessage &report = m_reports[node];
+        report.node = node;
         report.version = version;
         report.backend = node;
         if (report.routes.empty())
@@ -58,8 +59,10 @@
             // The owners report after every 40 requests.
             if (i % 40 != 39)
                 continue;
-            for (const auto &[node, report] : m_reports)
-                m_judge.addReport(node, report);
+            for (auto &[node, report] : m_reports) {
+                ++report.sequence;
+                m_judge.addReport(report);
+            }
             if (!m_judge.fault().empty())
                 return candidateRequests;
         }
@@ -113,13 +116,16 @@
 TEST_CASE("a route that fails every request with both versions does not make the new one faulty")
 {
     RolloutJudge judge("v2", detectorOptions);
-    VersionEvidenceMessage stable{.version = "v1", .backend = "b1", .routes = {{.route = "r"}}};
-    VersionEvidenceMessage candidate{.version = "v2", .backend = "b2", .routes = {{.route = "r"}}};
+    VersionEvidenceMessage stable{
+            .node = "b1", .version = "v1", .backend = "b1", .routes = {{.route = "r"}}};
+    VersionEvidenceMessage candidate{
+            .node = "b2", .version = "v2", .backend = "b2", .routes = {{.route = "r"}}};
     for (int round = 0; round < 200; ++round) {
         for (VersionEvidenceMessage *owner : {&stable, &candidate}) {
             owner->routes[0].counts.requests += 2;
             owner->routes[0].counts.failures += 2;
-            judge.addReport(owner->backend, *owner);
+            ++owner->sequence;
+            judge.addReport(*owner);
         }
         CAPTURE(round);
         REQUIRE(judge.fault().empty());
@@ -129,14 +135,42 @@
 TEST_CASE("counts that start from zero with a new backend server are added to the earlier ones")
 {
     RolloutJudge judge("v2", detectorOptions);
-    VersionEvidenceMessage report{.version = "v2", .backend = "b1", .routes = {{.route = "r"}}};
+    VersionEvidenceMessage report{.node = "n",
+                                  .sequence = 1,
+                                  .version = "v2",
+                                  .backend = "b1",
+                                  .routes = {{.route = "r"}}};
     report.routes[0].counts.requests = 10;
-    judge.addReport("n", report);
-    judge.addReport("n", report);
+    judge.addReport(report);
+    ++report.sequence;
+    judge.addReport(report);
     CHECK(judge.candidateRequests() == 10);
     report.backend = "b2";
     report.routes[0].counts.requests = 4;
-    judge.addReport("n", report);
+    ++report.sequence;
+    judge.addReport(report);
+    CHECK(judge.candidateRequests() == 14);
+}
+
+TEST_CASE("a report that arrives on several ways, in any order, counts once")
+{
+    RolloutJudge judge("v2", detectorOptions);
+    VersionEvidenceMessage older{.node = "n",
+                                 .incarnation = 7,
+                                 .sequence = 1,
+                                 .version = "v2",
+                                 .backend = "b1",
+                                 .routes = {{.route = "r", .counts = {.requests = 4}}}};
+    VersionEvidenceMessage newer = older;
+    newer.sequence = 2;
+    newer.routes[0].counts.requests = 10;
+    CHECK(judge.addReport(newer));
+    CHECK_FALSE(judge.addReport(older));
+    CHECK_FALSE(judge.addReport(newer));
+    CHECK(judge.candidateRequests() == 10);
+    VersionEvidenceMessage restarted = older;
+    restarted.incarnation = 8;
+    CHECK(judge.addReport(restarted));
     CHECK(judge.candidateRequests() == 14);
 }
 
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -206,7 +206,9 @@
     , network(FleetNetworkOptions{.self = {.node = settings.node,
                                            .domain = settings.domain,
                                            .linkEndpoint = settings.advertisedLinks,
-                                           .incarnation = incarnation},
+                                           .incarnation = incarnation,
+                                           .service = settings.service,
+                                           .relayCapacity = computeRelayCapacity(settings)},
                                   .randomSeed = randomSeed},
               transport, timers)
     , poison(PoisonRegistryOptions{})
@@ -419,10 +421,12 @@
     const CrashSuspectMessage *suspect = std::get_if<CrashSuspectMessage>(&message);
     if (suspect == nullptr)
         return;
-    if (suspect->backend.empty())
-        poison.removeSuspect(suspect->fingerprint);
-    else
-        poison.recordCrash(suspect->fingerprint, suspect->backend, timers.now());
+    const bool isNews =
+            suspect->backend.empty()
+                    ? poison.removeSuspect(suspect->fingerprint)
+                    : poison.recordCrash(suspect->fingerprint, suspect->backend, timers.now());
+    if (isNews && network.needsRelays())
+        network.broadcast(*suspect);
 }
 
 std::string MeshNode::Components::metricsText() const
