Owner choice: compare a random sample of owners

Of the owners of the own failure domain and of the others four each, drawn at random, are compared. The new test of a hundred senders failed before (170 requests to one owner that serves 100).

--- a/modules/fleet/link_plan.cpp
+++ b/modules/fleet/link_plan.cpp
@@ -35,13 +35,15 @@
                                                    const Key &key)
 {
     using Value = decltype(key(*nodes.front()->contact));
-    std::vector<std::pair<Value, const LinkPlanNode *>> keyed;
+    std::vector<std::pair<Value, const LinkPlanNode *>> weighted;
+    weighted.reserve(nodes.size());
     for (const LinkPlanNode *node : nodes)
-        keyed.emplace_back(key(*node->contact), node);
-    std::sort(keyed.begin(), keyed.end(),
+        weighted.emplace_back(key(*node->contact), node);
+    std::sort(weighted.begin(), weighted.end(),
               [](const auto &a, const auto &b) { return a.first > b.first; });
     std::vector<const LinkPlanNode *> ordered;
-    for (const auto &[value, node] : keyed)
+    ordered.reserve(weighted.size());
+    for (const auto &[value, node] : weighted)
         ordered.push_back(node);
     return ordered;
 }
--- a/modules/forwarding/owner_selector.cpp
+++ b/modules/forwarding/owner_selector.cpp
@@ -1,6 +1,8 @@
 #include "modules/forwarding/owner_selector.h"
 
 #include <algorithm>
+#include <array>
+#include <utility>
 
 namespace jacinthshift {
 
@@ -71,6 +73,26 @@
            + failurePenalty;
 }
 
+std::vector<std::size_t> OwnerSelector::sample(const std::vector<OwnerCandidate> &candidates)
+{
+    std::array<std::vector<std::size_t>, 2> warmByDomain; // Of the own domain, and of the others.
+    std::vector<std::size_t> chosen;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (candidates[i].backend.startsPerSecond > 0)
+            chosen.push_back(i);
+        else
+            warmByDomain.at(candidates[i].sameDomain ? 0 : 1).push_back(i);
+    }
+    for (std::vector<std::size_t> &warm : warmByDomain) {
+        const std::size_t count = std::min(warm.size(), m_options.sampleSize);
+        for (std::size_t i = 0; i < count; ++i) {
+            std::swap(warm[i], warm[i + m_random.below(warm.size() - i)]);
+            chosen.push_back(warm[i]);
+        }
+    }
+    return chosen;
+}
+
 std::optional<std::size_t> OwnerSelector::choose(const std::vector<OwnerCandidate> &candidates,
                                                  const SelectionContext &context)
 {
@@ -79,7 +101,7 @@
     std::optional<std::size_t> bestCold;
     double lowestCost = 0.0;
     double lowestColdCost = 0.0;
-    for (std::size_t i = 0; i < candidates.size(); ++i) {
+    for (const std::size_t i : sample(candidates)) {
         const OwnerCandidate &candidate = candidates[i];
         const double candidateCost = cost(candidate, fallbackServiceTime, context);
         const bool cold = candidate.backend.startsPerSecond > 0;
--- a/modules/forwarding/owner_selector.h
+++ b/modules/forwarding/owner_selector.h
@@ -39,6 +39,12 @@
      * sustain.
      */
     double coldChoiceWeight = 0.5;
+    /**
+     * Number of owners that are compared, chosen at random, of the own failure domain and of the
+     * others each. If many senders compared all, they would send to the same owner until its next
+     * status tells them that it is full.
+     */
+    std::size_t sampleSize = 4;
 };
 
 /** An owner that is eligible for a request. */
@@ -70,6 +76,11 @@
      */
     double expectedTime(const OwnerCandidate &candidate, double fallbackServiceTime,
                         const SelectionContext &context) const;
+    /**
+     * Returns the indices of the candidates to compare: the cold ones and a random sample of the
+     * others.
+     */
+    std::vector<std::size_t> sample(const std::vector<OwnerCandidate> &candidates);
     /** Returns the cost of a candidate in milliseconds. */
     double cost(const OwnerCandidate &candidate, double fallbackServiceTime,
                 const SelectionContext &context);
--- a/modules/forwarding/tests/test_owner_selector.cpp
+++ b/modules/forwarding/tests/test_owner_selector.cpp
@@ -1,6 +1,9 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <map>
+#include <string>
+#include <vector>
 
 #include "modules/forwarding/owner_selector.h"
 
@@ -133,4 +136,37 @@
     CHECK_FALSE(selector.choose({}, {.targetTimeLeft = milliseconds(500)}).has_value());
 }
 
+// Guards against a herd: a hundred senders that know the same status send to the owner that looks
+// best until its next status, which comes a second later.
+TEST_CASE("large mesh: many senders with status of the same age spread over the owners")
+{
+    constexpr std::size_t Owners = 30;
+    constexpr int Senders = 100;
+    constexpr int RequestsPerSender = 8;
+    std::vector<OwnerCandidate> candidates;
+    for (std::size_t i = 0; i < Owners; ++i) {
+        candidates.push_back(candidate(std::to_string(i), true, static_cast<std::uint32_t>(i % 6),
+                                       milliseconds(100 + 10 * (i % 7))));
+    }
+    std::vector<int> counts(Owners, 0);
+    for (int sender = 0; sender < Senders; ++sender) {
+        OwnerSelector selector(OwnerSelectorOptions{}, static_cast<std::uint64_t>(sender));
+        for (int request = 0; request < RequestsPerSender; ++request)
+            ++counts[*selector.choose(candidates, {.targetTimeLeft = milliseconds(800)})];
+    }
+    // Ten slots and 100 ms a request: an owner serves 100 requests before the next status.
+    CHECK(*std::max_element(counts.begin(), counts.end()) <= 100);
+}
+
+TEST_CASE("slow minority of many owners: most requests go to the others")
+{
+    std::vector<OwnerCandidate> candidates;
+    for (int i = 0; i < 30; ++i) {
+        const bool slow = i < 5;
+        candidates.push_back(
+                candidate(slow ? "slow" : "good", true, 3, milliseconds(slow ? 700 : 100)));
+    }
+    CHECK(countChoices(candidates)["slow"] <= 10);
+}
+
 } // namespace jacinthshift
