--- a/review/lib/lab.py
+++ b/review/lib/lab.py
@@ -407,14 +407,17 @@
         self.lab.record("server leaves", machine=self.machine.name, server=self.id, status=status)
         return status
 
-    async def crash(self):
+    async def exit(self):
         """The process ends: all connections break off and nothing listens."""
-        self.lab.record("server crashes", machine=self.machine.name, server=self.id)
+        self.lab.record("server exits", machine=self.machine.name, server=self.id)
         self.beats.cancel()
         self.listener.close()
         for writer in list(self.connections):
             writer.transport.abort()
         self.connections.clear()
+
+    async def crash(self):
+        await self.exit()
         await asyncio.sleep(self.down_s)
         await self.start()
 
