--- a/review/1/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/usr/bin/env bash
-exec python3 -B "$(dirname "$0")/case.py"
