--- a/review/lib/lab.py
+++ b/review/lib/lab.py
@@ -343,10 +343,12 @@
     """A server as PROTOCOL.md describes it. Subclass hooks decide how long work takes."""
 
     def __init__(self, lab, machine, slots=18, work_s=0.12, cold_s=0.0, crash_path=None,
-                 down_s=3.0, version="v1"):
+                 down_s=3.0, version="v1", cold_limit=None):
         self.lab, self.machine = lab, machine
         self.slots, self.work_s, self.cold_s, self.version = slots, work_s, cold_s, version
         self.crash_path, self.down_s = crash_path, down_s
+        self.cold_limit = cold_limit  # It crashes at more requests in a second while it is cold.
+        self.cold_arrivals = []
         self.running, self.queue = 0, []
         self.connections = set()
         self.listener = None
@@ -357,6 +359,7 @@
         self.id = "i-" + f"{random.getrandbits(32):08x}"
         self.born = int(time.time() * 1000)
         self.sequence = 0
+        self.told_at = 0.0  # When the last check-in had been sent.
         self.state = "ready"
         self.running, self.queue = 0, []
         self.warm_at = time.monotonic() + self.cold_s
@@ -397,6 +400,7 @@
         while True:
             path, body = self.beat()
             status = await self.call_control("PUT", path, body)
+            self.told_at = time.monotonic()
             await asyncio.sleep(HEARTBEAT_S if status == 200 else 0.3)
 
     async def leave(self):
@@ -445,11 +449,15 @@
         wanted = request.header("Target-Instance")
         request_id = request.header("Request-Id")
         if path == "/health":
-            return response_bytes(200, [("Instance-Id", self.id)])
+            cold_ms = max(0, round((self.warm_at - time.monotonic()) * 1000))
+            return response_bytes(200, [("Instance-Id", self.id), ("Cold-Ms", str(cold_ms))])
         if wanted and wanted != self.id:
             return response_bytes(421, [("Instance-Id", self.id), ("Request-Id", request_id)])
         self.lab.record("request reaches a server", server=self.id, machine=self.machine.name,
                         request=request_id, path=path)
+        if self.cold_limit is not None and self.is_overrun():
+            self.lab.spawn(self.crash())
+            return None
         if self.running >= self.slots:
             if len(self.queue) >= 4 * self.slots:
                 return response_bytes(503, [("Not-Executed", "1"), ("Request-Id", request_id)])
@@ -475,6 +483,14 @@
                    ("Server-Load", f"{self.running},{len(self.queue)},{self.slots}")]
         return response_bytes(200, headers, f"answer to {request_id}\n".encode())
 
+    def is_overrun(self):
+        now = time.monotonic()
+        if now >= self.warm_at:
+            self.cold_arrivals = []
+            return False
+        self.cold_arrivals = [at for at in self.cold_arrivals if now - at < 1.0] + [now]
+        return len(self.cold_arrivals) > self.cold_limit
+
     def work_time(self, request):
         return self.work_s() if callable(self.work_s) else self.work_s
 
