--- a/core/event.cpp
+++ b/core/event.cpp
@@ -55,6 +55,9 @@
             {Event::BackendLeaving, "BackendLeaving", EventLevel::Info, false},
             {Event::BackendLost, "BackendLost", EventLevel::Warning, false},
             {Event::HeartbeatIgnored, "HeartbeatIgnored", EventLevel::Warning, true},
+            {Event::LeftBackendReported, "LeftBackendReported", EventLevel::Warning, true},
+            {Event::BackendTurnedCold, "BackendTurnedCold", EventLevel::Info, false},
+            {Event::BackendConnectionLost, "BackendConnectionLost", EventLevel::Info, true},
             {Event::RateLimitNamed, "RateLimitNamed", EventLevel::Warning, false},
             {Event::RateLimitEnded, "RateLimitEnded", EventLevel::Info, false},
             {Event::RateLimitMalformed, "RateLimitMalformed", EventLevel::Warning, true},
@@ -70,6 +73,7 @@
             {Event::LimitChanged, "LimitChanged", EventLevel::Debug, true},
             {Event::AdmissionRefused, "AdmissionRefused", EventLevel::Warning, true},
             {Event::LateAnswerDropped, "LateAnswerDropped", EventLevel::Warning, true},
+            {Event::CallOrphaned, "CallOrphaned", EventLevel::Warning, true},
             {Event::CrashSuspected, "CrashSuspected", EventLevel::Warning, false},
             {Event::PoisonRefused, "PoisonRefused", EventLevel::Warning, false},
     };
--- a/core/event.h
+++ b/core/event.h
@@ -65,6 +65,9 @@
     BackendLeaving = 4012,
     BackendLost = 4013,
     HeartbeatIgnored = 4014,
+    LeftBackendReported = 4015,
+    BackendTurnedCold = 4016,
+    BackendConnectionLost = 4017,
     RateLimitNamed = 4020,
     RateLimitEnded = 4021,
     RateLimitMalformed = 4022,
@@ -81,6 +84,7 @@
     LimitChanged = 5010,
     AdmissionRefused = 5011,
     LateAnswerDropped = 5012,
+    CallOrphaned = 5013,
     CrashSuspected = 5020,
     PoisonRefused = 5021,
 };
--- a/modules/admission/poison_registry.h
+++ b/modules/admission/poison_registry.h
@@ -52,6 +52,7 @@
     bool recordCrash(std::uint64_t fingerprint, const std::string &backend, SteadyTime now);
     /** Removes a request from the registry. Returns whether it was in there. */
     bool removeSuspect(std::uint64_t fingerprint) { return m_suspects.erase(fingerprint) > 0; }
+    std::size_t size() const { return m_suspects.size(); }
     bool isSuspect(std::uint64_t fingerprint) const { return m_suspects.contains(fingerprint); }
     /** Returns whether the request has crashed enough backend servers to be refused. */
     bool isRefused(std::uint64_t fingerprint, SteadyTime now) const;
--- a/modules/fleet/call_server.cpp
+++ b/modules/fleet/call_server.cpp
@@ -94,6 +94,13 @@
         m_running.erase(running);
     }
     recordEndedCall(key, CallEnd::Finished);
+    if (key.first != callingProcess(node)) {
+        ++m_orphanedCalls;
+        logEvent(Event::CallOrphaned, {{"caller", key.first},
+                                       {"call", key.second},
+                                       {"now", callingProcess(node)},
+                                       {"refusal", refusalName(result.refusal)}});
+    }
     m_results[key] = result;
     m_resultExpiry.push_back(
             ExpiryEntry{.key = key, .expiresAt = m_timers.now() + m_options.resultRetention});
--- a/modules/fleet/call_server.h
+++ b/modules/fleet/call_server.h
@@ -89,6 +89,7 @@
     std::deque<ExpiryEntry> m_resultExpiry;
     std::map<CallKey, CallEnd> m_ended;
     std::deque<ExpiryEntry> m_endedExpiry;
+    std::uint64_t m_orphanedCalls = 0; ///< Calls that ended after their caller's process.
 
     /** Returns the node's name and incarnation, which identify the calling process. */
     std::string callingProcess(const std::string &node) const;
@@ -114,6 +115,8 @@
 
     /** Returns the number of running calls. */
     std::size_t running() const { return m_running.size(); }
+    /** Returns the number of calls that ended after their caller's process was replaced. */
+    std::uint64_t orphanedCalls() const { return m_orphanedCalls; }
     /** Returns how long the VM's link needs for the large responses that it is committed to. */
     std::chrono::milliseconds responseBacklog() const
     {
--- a/modules/fleet/fleet_network.cpp
+++ b/modules/fleet/fleet_network.cpp
@@ -410,8 +410,13 @@
     peer.status = status;
     peer.statusReceivedAt = m_timers.now();
     peer.hasStatus = true;
-    if (status.backend.leaving)
+    if (status.backend.leaving) {
         peer.leavingBackend = BackendLifetime{status.backend.id, status.backend.startedAt};
+    } else if (isBackendLeaving(peer)
+               && status.backend.availability == BackendAvailability::Ready) {
+        logEvent(Event::LeftBackendReported,
+                 {{"peer", peer.contact.node}, {"backend", status.backend.id}});
+    }
 }
 
 bool FleetNetwork::isBackendLeaving(const FleetPeer &peer)
--- a/modules/owner/backend_owner.cpp
+++ b/modules/owner/backend_owner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "core/hash.h"
 #include "core/logger.h"
 #include "core/text.h"
 #include "modules/release/evidence_counter.h"
@@ -59,6 +60,7 @@
         return absl::OkStatus();
     }
     const bool draining = m_registration.current()->draining;
+    const bool wasWarm = !isCold();
     m_unreachable = false;
     m_assumeCold = false;
     m_connectFailures = 0;
@@ -69,10 +71,17 @@
         m_rateLimit.reset();
         m_evidence.clear();
         m_recentFailures.reset();
+        m_recentStarts.clear();
         logEvent(Event::BackendAnnounced, {{"backend", heartbeat.id},
                                            {"version", heartbeat.version},
                                            {"slots", heartbeat.slots},
-                                           {"cold_ms", heartbeat.coldRemaining.count()}});
+                                           {"cold_ms", heartbeat.coldRemaining.count()},
+                                           {"lost_requests", m_lostFingerprints.size()}});
+    } else if (wasWarm && isCold()) {
+        logEvent(Event::BackendTurnedCold, {{"backend", heartbeat.id},
+                                            {"source", "heartbeat"},
+                                            {"cold_ms", heartbeat.coldRemaining.count()},
+                                            {"starts", m_recentStarts.count(m_timers.now())}});
     }
     updateStartRate();
     if (draining)
@@ -377,6 +386,7 @@
     Work &work = m_work.at(id);
     const SteadyTime now = m_timers.now();
     const BackendHeartbeat &backend = *m_registration.current();
+    m_recentStarts.record(now);
     work.startedAt = now;
     work.backend = backend.id;
     work.lifetime = m_lifetime;
@@ -526,6 +536,11 @@
                              m_lostFingerprints.begin() + static_cast<std::ptrdiff_t>(expired));
     m_connectionLostAt.push_back(now);
     m_lostFingerprints.push_back(fingerprint);
+    const std::optional<BackendHeartbeat> &backend = m_registration.current();
+    logEvent(Event::BackendConnectionLost, {{"backend", backend ? backend->id : std::string()},
+                                            {"fingerprint", formatHash(fingerprint)},
+                                            {"lost", m_connectionLostAt.size()},
+                                            {"running", m_admission.running()}});
     const bool allLost = m_admission.running() <= m_connectionLostAt.size();
     if (m_connectionLostAt.size() < m_options.connectionLossThreshold && !allLost)
         return;
--- a/modules/owner/backend_owner.h
+++ b/modules/owner/backend_owner.h
@@ -12,6 +12,7 @@
 #include "modules/owner/admission_queue.h"
 #include "modules/owner/backend_registration.h"
 #include "modules/owner/failure_rate.h"
+#include "modules/owner/recent_starts.h"
 #include "modules/owner/request_rate_limit.h"
 #include "modules/traffic/traffic_config.h"
 #include "servers/header_names.h"
@@ -120,6 +121,7 @@
     std::vector<SteadyTime> m_connectionLostAt;    ///< Connection losses within crashWindow.
     std::vector<std::uint64_t> m_lostFingerprints; ///< Requests of those connections.
     FailureRate m_recentFailures{FailureRateOptions{}};
+    RecentStarts m_recentStarts; ///< On the current backend server.
     Timer m_queueTimer;
 
     WorkRefusal refusalFor(const WorkRequest &workRequest) const;
--- a/node/mesh_metrics.cpp
+++ b/node/mesh_metrics.cpp
@@ -43,10 +43,13 @@
     appendMetric("peers_reachable", reachable);
     appendMetric("caller_connections", sources.callerConnections);
     appendMetric("requests_open", sources.openRequests);
+    appendMetric("calls_orphaned_total", sources.orphanedCalls);
+    appendMetric("crash_suspects", sources.crashSuspects);
     const BackendStatus &backend = sources.backend;
     appendMetric("backend_available", backend.availability == BackendAvailability::Ready ? 1 : 0);
     appendMetric("backend_limit", backend.concurrencyLimit);
     appendMetric("backend_running", backend.running);
+    appendMetric("backend_cold", backend.startsPerSecond > 0 ? 1 : 0);
     appendMetric("backend_waiting", backend.queued);
     appendMetric("backend_service_ms", backend.serviceTime.count());
     appendMetric("backend_failures_per_thousand", backend.failuresPerThousand);
--- a/node/mesh_metrics.h
+++ b/node/mesh_metrics.h
@@ -23,6 +23,8 @@
     std::uint64_t configVersion = 0;
     std::size_t callerConnections = 0;
     std::size_t openRequests = 0;
+    std::uint64_t orphanedCalls = 0;
+    std::size_t crashSuspects = 0;
     /** Calls to the platform's store, by outcome. */
     const std::map<std::string, std::uint64_t> &storeCalls;
 };
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -439,6 +439,8 @@
                             .configVersion = config.version,
                             .callerConnections = callerServer.connectionCount(),
                             .openRequests = forwarder.openRequests(),
+                            .orphanedCalls = callServer.orphanedCalls(),
+                            .crashSuspects = poison.size(),
                             .storeCalls = storeClient.callCounts()});
 }
 
