Fix results of an ended process's calls that reach its successor

Cause: calls are numbered from 1 in each process, and a result, refusal or body part named the number only. The owner went on with the calls of the ended process and sent what became of them to the new one.

Change: calls, cancellations, resumptions, results and parts carry the caller's process; owners and the part sender key calls by it, results of an ended process's calls are not sent, and foreign ones are dropped. Links to an ended process are closed as soon as another node tells of its successor: a call on such a link was resumed at the successor, which reported it as not run.

--- a/modules/fleet/call_server.cpp
+++ b/modules/fleet/call_server.cpp
@@ -1,7 +1,6 @@
 #include "modules/fleet/call_server.h"
 
 #include "core/logger.h"
-#include "core/text.h"
 
 namespace jacinthshift {
 
@@ -17,43 +16,39 @@
     network.addObserver(*this);
 }
 
-std::string CallServer::callingProcess(const std::string &node) const
+bool CallServer::isOrphaned(const CallKey &key) const
 {
-    const FleetPeer *peer = m_network.peer(node);
-    return joinText(node, "#", peer == nullptr ? 0 : peer->contact.incarnation);
+    const FleetPeer *peer = m_network.peer(key.node);
+    return peer != nullptr && peer->contact.incarnation != key.process;
 }
 
 void CallServer::messageReceived(const std::string &node, const FleetMessage &message)
 {
     if (const WorkCallMessage *call = std::get_if<WorkCallMessage>(&message))
-        startCall(node, *call);
+        startCall({.node = node, .process = call->callerProcess, .number = call->call}, call->work);
     else if (const WorkCancelMessage *cancelled = std::get_if<WorkCancelMessage>(&message))
-        cancel(node, cancelled->call);
+        cancel({.node = node, .process = cancelled->callerProcess, .number = cancelled->call});
     else if (const WorkResumeMessage *resumed = std::get_if<WorkResumeMessage>(&message))
         resume(node, *resumed);
 }
 
-void CallServer::startCall(const std::string &node, const WorkCallMessage &message)
+void CallServer::startCall(const CallKey &key, const WorkRequest &work)
 {
     removeExpired();
-    const CallKey key(callingProcess(node), message.call);
     // A duplicate may arrive late over a link that the sender has abandoned.
     if (m_running.contains(key) || m_ended.contains(key))
         return;
-    if (!reserveResponse(node, key, message.work))
+    if (!reserveResponse(key, work))
         return;
-    const std::uint64_t id =
-            m_handler.run(message.work, [this, node, key](const WorkResult &result) {
-                callFinished(node, key, result);
-            });
+    const std::uint64_t id = m_handler.run(
+            work, [this, key](const WorkResult &result) { callFinished(key, result); });
     // The handler may have finished the call before it returned the id.
     const auto running = m_running.find(key);
     if (running != m_running.end())
         running->second.id = id;
 }
 
-bool CallServer::reserveResponse(const std::string &node, const CallKey &key,
-                                 const WorkRequest &work)
+bool CallServer::reserveResponse(const CallKey &key, const WorkRequest &work)
 {
     const ResponseBudget::Decision decision =
             m_budget.offer(ResponseOffer{.route = work.route,
@@ -61,17 +56,16 @@
                                          .targetTimeLeft = work.targetTimeLeft},
                            m_parts.queuedBytes());
     if (!decision.admitted) {
-        logEvent(Event::AdmissionRefused, {{"caller", node},
-                                           {"call", key.second},
+        logEvent(Event::AdmissionRefused, {{"caller", key.node},
+                                           {"call", key.number},
                                            {"route", work.route},
                                            {"reason", refusalName(WorkRefusal::LinkBusy)},
                                            {"backlog_ms", responseBacklog().count()},
                                            {"target_left_ms", work.targetTimeLeft.count()},
                                            {"left_ms", work.timeLeft.count()}});
-        callFinished(node, key,
-                     WorkResult{.verdict = Verdict::NotRun,
-                                .refusal = WorkRefusal::LinkBusy,
-                                .retryAfter = decision.retryAfter});
+        callFinished(key, WorkResult{.verdict = Verdict::NotRun,
+                                     .refusal = WorkRefusal::LinkBusy,
+                                     .retryAfter = decision.retryAfter});
         return false;
     }
     m_running[key] = RunningCall{.route = work.route,
@@ -80,7 +74,7 @@
     return true;
 }
 
-void CallServer::callFinished(const std::string &node, const CallKey &key, const WorkResult &result)
+void CallServer::callFinished(const CallKey &key, const WorkResult &result)
 {
     const auto running = m_running.find(key);
     if (running != m_running.end()) {
@@ -94,23 +88,25 @@
         m_running.erase(running);
     }
     recordEndedCall(key, CallEnd::Finished);
-    if (key.first != callingProcess(node)) {
+    if (isOrphaned(key)) {
         ++m_orphanedCalls;
-        logEvent(Event::CallOrphaned, {{"caller", key.first},
-                                       {"call", key.second},
-                                       {"now", callingProcess(node)},
+        logEvent(Event::CallOrphaned, {{"caller", key.node},
+                                       {"process", key.process},
+                                       {"call", key.number},
                                        {"refusal", refusalName(result.refusal)}});
+        return;
     }
     m_results[key] = result;
     m_resultExpiry.push_back(
             ExpiryEntry{.key = key, .expiresAt = m_timers.now() + m_options.resultRetention});
-    sendResult(node, key.second, result);
+    sendResult(key, result);
 }
 
-void CallServer::sendResult(const std::string &node, std::uint64_t call, const WorkResult &result)
+void CallServer::sendResult(const CallKey &key, const WorkResult &result)
 {
     const BackendStatus status = m_handler.status();
-    WorkResultMessage message{.call = call,
+    WorkResultMessage message{.callerProcess = key.process,
+                              .call = key.number,
                               .result = result,
                               .load = {.concurrencyLimit = status.concurrencyLimit,
                                        .running = status.running,
@@ -121,25 +117,24 @@
                                        .requestRateLimit = status.requestRateLimit,
                                        .responseBacklog = responseBacklog()}};
     if (result.response.body.size() < m_options.budget.largeResponseBytes) {
-        m_network.send(node, message);
+        m_network.send(key.node, message);
         return;
     }
     const auto body = std::make_shared<const std::string>(
             std::exchange(message.result.response.body, std::string()));
     message.followingBodyBytes = body->size();
-    if (m_network.send(node, message))
-        m_parts.send(node, call, body);
+    if (m_network.send(key.node, message))
+        m_parts.send(key, body);
 }
 
 void CallServer::resume(const std::string &node, const WorkResumeMessage &message)
 {
     removeExpired();
-    const std::string process = callingProcess(node);
     for (const std::uint64_t call : message.calls) {
-        const CallKey key(process, call);
+        const CallKey key{.node = node, .process = message.callerProcess, .number = call};
         if (m_running.contains(key))
             continue;
-        sendResult(node, call, resultOrFence(key));
+        sendResult(key, resultOrFence(key));
     }
 }
 
@@ -159,12 +154,11 @@
     return WorkResult{.verdict = Verdict::NotRun, .refusal = WorkRefusal::Lost};
 }
 
-void CallServer::cancel(const std::string &node, std::uint64_t call)
+void CallServer::cancel(const CallKey &key)
 {
-    const CallKey key(callingProcess(node), call);
     const auto running = m_running.find(key);
     if (running == m_running.end()) {
-        m_parts.cancel(node, call);
+        m_parts.cancel(key);
         if (!m_ended.contains(key))
             recordEndedCall(key, CallEnd::Fenced);
         return;
--- a/modules/fleet/call_server.h
+++ b/modules/fleet/call_server.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <utility>
 
+#include "modules/fleet/call_key.h"
 #include "modules/fleet/fleet_network.h"
 #include "modules/fleet/part_sender.h"
 #include "modules/fleet/response_budget.h"
@@ -58,8 +59,6 @@
  */
 class CallServer final : public FleetObserver
 {
-    using CallKey = std::pair<std::string, std::uint64_t>; ///< callingProcess() and call id.
-
     /** Why a call must not start any more. */
     enum class CallEnd {
         Finished, ///< It has run, was refused, or was cancelled while it ran.
@@ -91,14 +90,14 @@
     std::deque<ExpiryEntry> m_endedExpiry;
     std::uint64_t m_orphanedCalls = 0; ///< Calls that ended after their caller's process.
 
-    /** Returns the node's name and incarnation, which identify the calling process. */
-    std::string callingProcess(const std::string &node) const;
-    void startCall(const std::string &node, const WorkCallMessage &message);
+    void startCall(const CallKey &key, const WorkRequest &work);
     /** Returns whether the link has room for the call's response; refuses the call otherwise. */
-    bool reserveResponse(const std::string &node, const CallKey &key, const WorkRequest &work);
-    void callFinished(const std::string &node, const CallKey &key, const WorkResult &result);
+    bool reserveResponse(const CallKey &key, const WorkRequest &work);
+    void callFinished(const CallKey &key, const WorkResult &result);
+    /** Returns whether the process that made a call has been replaced by another one. */
+    bool isOrphaned(const CallKey &key) const;
     void resume(const std::string &node, const WorkResumeMessage &message);
-    void cancel(const std::string &node, std::uint64_t call);
+    void cancel(const CallKey &key);
     void recordEndedCall(const CallKey &key, CallEnd end);
     /**
      * Returns the stored result of a call that is not running, or MayHaveRun if it has ended and
@@ -107,7 +106,7 @@
      */
     WorkResult resultOrFence(const CallKey &key);
     void removeExpired();
-    void sendResult(const std::string &node, std::uint64_t call, const WorkResult &result);
+    void sendResult(const CallKey &key, const WorkResult &result);
 
 public:
     CallServer(const CallServerOptions &options, FleetNetwork &network, TimerService &timers,
--- a/modules/fleet/fleet_network.cpp
+++ b/modules/fleet/fleet_network.cpp
@@ -145,6 +145,9 @@
     FleetPeer &peer = entry->second;
     if (!isNew && contact.incarnation <= peer.contact.incarnation)
         return false;
+    // Another node may have met the new process first. A call on a link to the ended one must not
+    // be taken for a call to the new one, which would report that it has not run.
+    endProcess(peer);
     peer.contact = contact;
     peer.dialFailed = false;
     peer.redialDelay = m_options.initialRedialDelay;
@@ -425,6 +428,14 @@
     return peer.leavingBackend == BackendLifetime{backend.id, backend.startedAt};
 }
 
+void FleetNetwork::endProcess(FleetPeer &peer)
+{
+    for (const LinkId oldLink : std::vector<LinkId>(peer.links))
+        m_transport.close(oldLink);
+    peer.hasStatus = false;
+    peer.status = StatusMessage();
+}
+
 void FleetNetwork::handleGreeting(LinkId link, const GreetingMessage &greeting)
 {
     const NodeContact &contact = greeting.self;
@@ -440,12 +451,8 @@
         m_transport.close(link);
         return;
     }
-    if (contact.incarnation > peer.contact.incarnation) {
-        for (const LinkId oldLink : std::vector<LinkId>(peer.links))
-            m_transport.close(oldLink);
-        peer.hasStatus = false;
-        peer.status = StatusMessage();
-    }
+    if (contact.incarnation > peer.contact.incarnation)
+        endProcess(peer);
     peer.contact = contact;
     peer.dialFailed = false;
     // The plan for a mesh that grows is updated with the next tick.
--- a/modules/fleet/fleet_network.h
+++ b/modules/fleet/fleet_network.h
@@ -145,6 +145,8 @@
     bool isExpired(FleetPeer &peer);
     void sendStatus();
     void sendHeartbeats();
+    /** Closes the links to a peer's process, which has been replaced, and drops its status. */
+    void endProcess(FleetPeer &peer);
     void handleGreeting(LinkId link, const GreetingMessage &greeting);
     void updateStatus(FleetPeer &peer, const StatusMessage &status);
     std::chrono::milliseconds silenceTimeout() const;
--- a/modules/fleet/message_codec.cpp
+++ b/modules/fleet/message_codec.cpp
@@ -204,7 +204,8 @@
             work.mayHaveRun,
             work.timeLeft.count(),
             work.targetTimeLeft.count(),
-            work.version};
+            work.version,
+            message.callerProcess};
 }
 
 void decode(const json &source, WorkCallMessage &message)
@@ -225,6 +226,7 @@
     work.timeLeft = decodeMilliseconds(source.at(12));
     work.targetTimeLeft = decodeMilliseconds(source.at(13));
     source.at(14).get_to(work.version);
+    source.at(15).get_to(message.callerProcess);
 }
 
 json encode(const WorkResultMessage &message)
@@ -246,7 +248,8 @@
             message.load.failuresPerThousand,
             message.load.requestRateLimit,
             message.load.responseBacklog.count(),
-            message.followingBodyBytes};
+            message.followingBodyBytes,
+            message.callerProcess};
 }
 
 void decode(const json &source, WorkResultMessage &message)
@@ -269,11 +272,12 @@
     source.at(14).get_to(message.load.requestRateLimit);
     message.load.responseBacklog = decodeMilliseconds(source.at(15));
     source.at(16).get_to(message.followingBodyBytes);
+    source.at(17).get_to(message.callerProcess);
 }
 
 json encode(const ResponsePartMessage &message)
 {
-    return {message.call, message.offset, encodeBytes(message.bytes)};
+    return {message.call, message.offset, encodeBytes(message.bytes), message.callerProcess};
 }
 
 void decode(const json &source, ResponsePartMessage &message)
@@ -281,26 +285,29 @@
     source.at(0).get_to(message.call);
     source.at(1).get_to(message.offset);
     message.bytes = decodeBytes(source.at(2));
+    source.at(3).get_to(message.callerProcess);
 }
 
 json encode(const WorkCancelMessage &message)
 {
-    return message.call;
+    return {message.call, message.callerProcess};
 }
 
 void decode(const json &source, WorkCancelMessage &message)
 {
-    source.get_to(message.call);
+    source.at(0).get_to(message.call);
+    source.at(1).get_to(message.callerProcess);
 }
 
 json encode(const WorkResumeMessage &message)
 {
-    return message.calls;
+    return {message.calls, message.callerProcess};
 }
 
 void decode(const json &source, WorkResumeMessage &message)
 {
-    source.get_to(message.calls);
+    source.at(0).get_to(message.calls);
+    source.at(1).get_to(message.callerProcess);
 }
 
 json encode(const TableFetchMessage &message)
--- a/modules/fleet/messages.h
+++ b/modules/fleet/messages.h
@@ -31,7 +31,7 @@
 struct GreetingMessage
 {
     /** Version of the protocol; a link between different versions is closed. */
-    static constexpr std::uint32_t Protocol = 4;
+    static constexpr std::uint32_t Protocol = 5;
 
     std::uint32_t protocol = Protocol;
     NodeContact self;
@@ -131,7 +131,8 @@
 /** Asks the owner to run a request. */
 struct WorkCallMessage
 {
-    std::uint64_t call = 0; ///< Id of the call, unique in the sender's process.
+    std::uint64_t callerProcess = 0; ///< Incarnation of the sender's process.
+    std::uint64_t call = 0;          ///< Id of the call, unique in the sender's process.
     WorkRequest work;
 };
 
@@ -151,6 +152,8 @@
 /** The result of a call, with the current load of the backend server. */
 struct WorkResultMessage
 {
+    /** Of the call; a node's next process numbers its calls from the start again. */
+    std::uint64_t callerProcess = 0;
     std::uint64_t call = 0;
     WorkResult result;
     BackendLoad load;
@@ -161,6 +164,7 @@
 /** A part of the response body of a call; parts are sent in order after the result. */
 struct ResponsePartMessage
 {
+    std::uint64_t callerProcess = 0;
     std::uint64_t call = 0;
     std::uint64_t offset = 0; ///< Position of the part in the body.
     std::string bytes;
@@ -169,12 +173,14 @@
 /** Cancels a call; no result is sent. */
 struct WorkCancelMessage
 {
+    std::uint64_t callerProcess = 0;
     std::uint64_t call = 0;
 };
 
 /** Requests the results of calls that were sent over an earlier link. */
 struct WorkResumeMessage
 {
+    std::uint64_t callerProcess = 0;
     std::vector<std::uint64_t> calls; ///< Ids of the calls.
 };
 
--- a/modules/fleet/part_sender.cpp
+++ b/modules/fleet/part_sender.cpp
@@ -15,22 +15,20 @@
 {
 }
 
-void PartSender::send(const std::string &node, std::uint64_t call,
-                      std::shared_ptr<const std::string> body)
+void PartSender::send(const CallKey &call, std::shared_ptr<const std::string> body)
 {
-    cancel(node, call);
+    cancel(call);
     m_queuedBytes += body->size();
-    m_transfers.push_back(Transfer{.node = node, .call = call, .body = std::move(body)});
+    m_transfers.push_back(Transfer{.call = call, .body = std::move(body)});
     if (!m_timer.isActive())
         sendDueParts();
 }
 
-void PartSender::cancel(const std::string &node, std::uint64_t call)
+void PartSender::cancel(const CallKey &call)
 {
     const auto found =
-            std::find_if(m_transfers.begin(), m_transfers.end(), [&](const Transfer &transfer) {
-                return transfer.call == call && transfer.node == node;
-            });
+            std::find_if(m_transfers.begin(), m_transfers.end(),
+                         [&call](const Transfer &transfer) { return transfer.call == call; });
     if (found != m_transfers.end())
         remove(found);
 }
@@ -66,12 +64,13 @@
     while (transfer.remaining() > 0) {
         const std::size_t size = std::min(m_options.partBytes, transfer.remaining());
         if ((limited && m_tokens < static_cast<double>(size))
-            || m_network.queuedBytes(transfer.node) > m_options.maxQueuedBytesPerLink)
+            || m_network.queuedBytes(transfer.call.node) > m_options.maxQueuedBytesPerLink)
             return false;
         // A lost link ends the transfer: the calling node requests the result over the next one.
         if (!m_network.sendUncompressed(
-                    transfer.node,
-                    ResponsePartMessage{.call = transfer.call,
+                    transfer.call.node,
+                    ResponsePartMessage{.callerProcess = transfer.call.process,
+                                        .call = transfer.call.number,
                                         .offset = transfer.sent,
                                         .bytes = transfer.body->substr(transfer.sent, size)}))
             return true;
--- a/modules/fleet/part_sender.h
+++ b/modules/fleet/part_sender.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 
+#include "modules/fleet/call_key.h"
 #include "modules/fleet/fleet_network.h"
 
 namespace jacinthshift {
@@ -34,8 +35,7 @@
 {
     struct Transfer
     {
-        std::string node;
-        std::uint64_t call = 0;
+        CallKey call;
         std::shared_ptr<const std::string> body;
         std::size_t sent = 0;
 
@@ -66,9 +66,9 @@
     PartSender(const PartSenderOptions &options, FleetNetwork &network, TimerService &timers);
 
     /** Sends the body of a call's response, from its start if it was being sent already. */
-    void send(const std::string &node, std::uint64_t call, std::shared_ptr<const std::string> body);
+    void send(const CallKey &call, std::shared_ptr<const std::string> body);
     /** Stops sending the body of a call's response. */
-    void cancel(const std::string &node, std::uint64_t call);
+    void cancel(const CallKey &call);
     /** Returns the bytes that have not been sent yet. */
     std::size_t queuedBytes() const { return m_queuedBytes; }
 };
--- a/modules/fleet/remote_call_client.cpp
+++ b/modules/fleet/remote_call_client.cpp
@@ -32,7 +32,8 @@
                              .callback = std::move(callback),
                              .idempotent = work.idempotent});
     ++m_outstandingByNode[node];
-    if (!m_network.send(node, WorkCallMessage{.call = id, .work = work})) {
+    if (!m_network.send(node,
+                        WorkCallMessage{.callerProcess = ownProcess(), .call = id, .work = work})) {
         m_timers.startOnce(std::chrono::milliseconds(0), [this, id] {
             finish(id, WorkResult{.verdict = Verdict::NotRun, .refusal = WorkRefusal::Unreachable});
         });
@@ -45,7 +46,8 @@
     const auto found = m_calls.find(call);
     if (found == m_calls.end())
         return;
-    m_network.send(found->second.node, WorkCancelMessage{.call = call});
+    m_network.send(found->second.node,
+                   WorkCancelMessage{.callerProcess = ownProcess(), .call = call});
     --m_outstandingByNode[found->second.node];
     m_calls.erase(found);
 }
@@ -93,7 +95,7 @@
 
 void RemoteCallClient::resume(const std::string &node)
 {
-    WorkResumeMessage message;
+    WorkResumeMessage message{.callerProcess = ownProcess()};
     for (auto &[id, call] : m_calls) {
         if (call.node != node)
             continue;
@@ -131,17 +133,28 @@
         partReceived(node, *part);
 }
 
-RemoteCallClient::Call *RemoteCallClient::findCall(const std::string &node, std::uint64_t call)
+std::uint64_t RemoteCallClient::ownProcess() const
 {
+    return m_network.self().incarnation;
+}
+
+RemoteCallClient::Call *RemoteCallClient::findCall(const std::string &node, std::uint64_t process,
+                                                   std::uint64_t call)
+{
+    if (process != ownProcess())
+        return nullptr;
     const auto found = m_calls.find(call);
     return found == m_calls.end() || found->second.node != node ? nullptr : &found->second;
 }
 
 void RemoteCallClient::resultReceived(const std::string &node, const WorkResultMessage &message)
 {
-    Call *call = findCall(node, message.call);
+    Call *call = findCall(node, message.callerProcess, message.call);
     if (call == nullptr) {
-        logEvent(Event::LateAnswerDropped, {{"peer", node}, {"call", message.call}});
+        logEvent(Event::LateAnswerDropped, {{"peer", node},
+                                            {"call", message.call},
+                                            {"process", message.callerProcess},
+                                            {"own_process", ownProcess()}});
         return;
     }
     if (message.followingBodyBytes == 0) {
@@ -154,7 +167,7 @@
 
 void RemoteCallClient::partReceived(const std::string &node, const ResponsePartMessage &part)
 {
-    Call *call = findCall(node, part.call);
+    Call *call = findCall(node, part.callerProcess, part.call);
     if (call == nullptr || call->partialResult == nullptr)
         return;
     std::string &body = call->partialResult->response.body;
--- a/modules/fleet/remote_call_client.h
+++ b/modules/fleet/remote_call_client.h
@@ -56,8 +56,9 @@
     /** Returns whether a call must fail. Probes its node if that has sent nothing lately. */
     bool hasTimedOut(const Call &call);
     void finish(std::uint64_t call, const WorkResult &result);
-    /** Returns a call to a node that waits for its result, or nullptr. */
-    Call *findCall(const std::string &node, std::uint64_t call);
+    std::uint64_t ownProcess() const;
+    /** Returns a call of this process to a node that waits for its result, or nullptr. */
+    Call *findCall(const std::string &node, std::uint64_t process, std::uint64_t call);
     void resultReceived(const std::string &node, const WorkResultMessage &message);
     void partReceived(const std::string &node, const ResponsePartMessage &part);
     void resume(const std::string &node);
--- a/modules/fleet/tests/test_fleet_codec.cpp
+++ b/modules/fleet/tests/test_fleet_codec.cpp
@@ -10,7 +10,8 @@
 
 WorkCallMessage sampleCall()
 {
-    return WorkCallMessage{.call = 7,
+    return WorkCallMessage{.callerProcess = 6,
+                           .call = 7,
                            .work = {.request = {.method = "POST",
                                                 .target = "/a/b?c=\xff",
                                                 .headers = {{"Id", "1: 2"}, {"X", ""}},
@@ -30,6 +31,7 @@
     const absl::StatusOr<FleetMessage> read = decodeFleetMessage(encodeFleetMessage(sampleCall()));
     REQUIRE(read.ok());
     const WorkCallMessage &call = std::get<WorkCallMessage>(*read);
+    CHECK(call.callerProcess == 6);
     CHECK(call.call == 7);
     CHECK(call.work.request.target == "/a/b?c=\xff");
     CHECK(call.work.request.body == std::string("\0\xfe", 2));
@@ -46,8 +48,8 @@
             GreetingMessage{.self = {.node = "n", .linkEndpoint = {"127.0.0.1", 1}}},
             StatusMessage{.tableEnd = 4, .backend = {.id = "i", .concurrencyLimit = 3}},
             WorkResultMessage{.call = 1, .result = {.refusal = WorkRefusal::Overloaded}},
-            WorkCancelMessage{.call = 9},
-            WorkResumeMessage{.calls = {1, 2}},
+            WorkCancelMessage{.callerProcess = 8, .call = 9},
+            WorkResumeMessage{.callerProcess = 8, .calls = {1, 2}},
             TableFetchMessage{.from = 12},
             TableRecordsMessage{.packedPage = "p"},
             VersionEvidenceMessage{.service = "s", .routes = {{.route = "r"}}},
--- a/modules/fleet/tests/test_remote_calls.cpp
+++ b/modules/fleet/tests/test_remote_calls.cpp
@@ -1,6 +1,8 @@
 #include <catch2/catch.hpp>
 
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "modules/fleet/call_server.h"
 #include "modules/fleet/remote_call_client.h"
@@ -168,7 +170,7 @@
     nodes.b.work.finishAll();
     nodes.timers.advance(milliseconds(3'500));
     nodes.b.server.messageReceived("a", WorkCallMessage{.call = 77});
-    nodes.b.server.messageReceived("a", WorkResumeMessage{.calls = {1}});
+    nodes.b.server.messageReceived("a", WorkResumeMessage{.callerProcess = 1, .calls = {1}});
     nodes.hub.deliverHeldFrames();
     nodes.timers.advance(milliseconds(10));
     REQUIRE(nodes.result.has_value());
@@ -196,6 +198,136 @@
     CHECK(result->verdict == Verdict::MayHaveRun);
 }
 
+namespace {
+
+/** Node "a", whose process has made a call to "b" and was then replaced by another process. */
+struct RestartedCaller
+{
+    ManualTimerService timers;
+    FakeLinkHub hub{timers};
+    TestNode ended{hub, "a", 1, 1};
+    TestNode b{hub, "b", 2, 1};
+    std::optional<TestNode> successor;
+    std::vector<std::string> answers; ///< Bodies that the successor got.
+    std::optional<WorkResult> result; ///< The last one that the successor got.
+
+    RestartedCaller()
+    {
+        ended.network.addContacts({b.network.self()});
+        timers.advance(milliseconds(100));
+        callFrom(ended, [](const WorkResult &) {});
+        timers.advance(milliseconds(10));
+        ended.transport.closeAll();
+        timers.advance(milliseconds(5));
+        successor.emplace(hub, "a", 1, 2);
+        successor->network.addContacts({b.network.self()});
+        timers.advance(milliseconds(100));
+    }
+
+    static void callFrom(TestNode &node, RemoteCallClient::Callback callback)
+    {
+        node.client.call("b", WorkRequest{.timeLeft = milliseconds(3'000)}, std::move(callback));
+    }
+    void callFromSuccessor()
+    {
+        callFrom(*successor, [this](const WorkResult &received) {
+            result = received;
+            answers.push_back(received.response.body);
+        });
+        timers.advance(milliseconds(10));
+    }
+    /** Ends the oldest call at the owner. */
+    void finishOldest(const WorkResult &workResult)
+    {
+        const auto oldest = b.work.open.begin();
+        const WorkHandler::Callback callback = oldest->second;
+        b.work.open.erase(oldest);
+        callback(workResult);
+        timers.advance(milliseconds(10));
+    }
+};
+
+WorkResult answered(std::string body)
+{
+    return WorkResult{.verdict = Verdict::Done,
+                      .reachedBackend = true,
+                      .response = {.status = 200, .body = std::move(body)}};
+}
+
+} // namespace
+
+// Guards against bookings that run twice after the caller's node was killed and started again.
+TEST_CASE("a refused call of an ended process is not taken for a call of its successor")
+{
+    RestartedCaller nodes;
+    nodes.callFromSuccessor();
+    REQUIRE(nodes.b.work.open.size() == 2);
+    nodes.finishOldest({.verdict = Verdict::NotRun, .refusal = WorkRefusal::Overloaded});
+    CHECK_FALSE(nodes.result.has_value());
+    nodes.finishOldest(answered("new"));
+    REQUIRE(nodes.result.has_value());
+    CHECK(nodes.result->response.body == "new");
+    CHECK(nodes.b.server.orphanedCalls() == 1);
+}
+
+// Guards against callers that get the answer to a request of another caller.
+TEST_CASE("the answer to a call of an ended process does not go to a call of its successor")
+{
+    RestartedCaller nodes;
+    nodes.callFromSuccessor();
+    SECTION("in one message")
+    {
+        nodes.finishOldest(answered("old"));
+        nodes.finishOldest(answered("new"));
+        CHECK(nodes.answers == std::vector<std::string>{"new"});
+    }
+    SECTION("in parts")
+    {
+        const std::string oldBody(200'000, 'o');
+        const std::string newBody(200'000, 'n');
+        nodes.finishOldest(answered(oldBody));
+        nodes.finishOldest(answered(newBody));
+        nodes.timers.advance(milliseconds(1'000));
+        REQUIRE(nodes.answers.size() == 1);
+        CHECK(nodes.answers[0] == newBody);
+    }
+}
+
+TEST_CASE("a call of an ended process that arrives late does not block its successor's")
+{
+    RestartedCaller nodes;
+    nodes.b.server.messageReceived("a", WorkCallMessage{.callerProcess = 1, .call = 5});
+    nodes.b.server.messageReceived("a", WorkCallMessage{.callerProcess = 2, .call = 5});
+    CHECK(nodes.b.work.started == 3);
+    nodes.b.server.messageReceived("a", WorkCancelMessage{.callerProcess = 1, .call = 5});
+    CHECK(nodes.b.work.cancelled == 1);
+    CHECK(nodes.b.work.open.size() == 2);
+}
+
+// Guards against a request that runs at the ended process and is reported as not run by the next.
+TEST_CASE("a call to an ended process of which only others have told is not reported as not run")
+{
+    ManualTimerService timers;
+    FakeLinkHub hub(timers);
+    TestNode a(hub, "a", 1);
+    TestNode ended(hub, "b", 2, 1);
+    a.network.addContacts({ended.network.self()});
+    timers.advance(milliseconds(100));
+    std::optional<WorkResult> result;
+    NodeContact successorContact = ended.network.self();
+    successorContact.incarnation = 2;
+    a.network.addContacts({successorContact});
+    a.client.call("b", WorkRequest{.timeLeft = milliseconds(3'000)},
+                  [&](const WorkResult &received) { result = received; });
+    timers.advance(milliseconds(3));
+    ended.transport.closeAll();
+    TestNode successor(hub, "b", 2, 2);
+    timers.advance(milliseconds(1'500));
+    REQUIRE(result.has_value());
+    const bool ran = ended.work.started + successor.work.started > 0;
+    CHECK((!ran || result->verdict != Verdict::NotRun));
+}
+
 TEST_CASE("when the caller cancels a request its owner stops running it")
 {
     TwoNodes nodes;
