Tell an owner's new process which backend server has left

Cause: deregistrations and draining were kept only in the memory of the process that had acknowledged them. The peers remembered them, but only for their own choice of owners.

Change: a node that meets a peer's new process tells it (BackendLeft); the owner takes that as the deregistration. A deregistration is matched by the start time too, so that a late one does not remove a server that restarted under its id, and repeated ones do not displace others.

Failed before (mutant without these parts): "0 == 2" in test_fleet_network, availability and "sentRequests.empty()" in test_backend_owner, "0 == 2" and "1 == 3" in test_backend_registration.

--- a/modules/fleet/fleet_network.cpp
+++ b/modules/fleet/fleet_network.cpp
@@ -473,6 +473,9 @@
     m_transport.setCompression(link, !isInOwnDomain(peer));
     logEvent(Event::LinkOpened, {{"peer", contact.node}, {"links", peer.links.size()}});
     m_transport.send(link, encodeFleetMessage(m_status));
+    if (!peer.hasStatus && peer.leavingBackend)
+        m_transport.send(link,
+                         encodeFleetMessage(BackendLeftMessage{.backend = *peer.leavingBackend}));
     // The contact list is long, so it is sent only within the failure domain. A node that has no
     // peer in its own domain fetches it (see fetchContacts()).
     if (isInOwnDomain(peer))
--- a/modules/fleet/fleet_network.h
+++ b/modules/fleet/fleet_network.h
@@ -52,15 +52,6 @@
     std::size_t relaysPerDomain = 2; ///< Nodes per failure domain that are relays.
 };
 
-/** One lifetime of a backend server. */
-struct BackendLifetime
-{
-    std::string id;
-    std::uint64_t startedAt = 0; ///< Unix milliseconds; zero if unknown.
-
-    bool operator==(const BackendLifetime &) const = default;
-};
-
 /** Contact, last reported status and link state of another node. */
 struct FleetPeer
 {
--- a/modules/fleet/message_codec.cpp
+++ b/modules/fleet/message_codec.cpp
@@ -378,6 +378,17 @@
     source.at(1).get_to(message.backend);
 }
 
+json encode(const BackendLeftMessage &message)
+{
+    return {message.backend.id, message.backend.startedAt};
+}
+
+void decode(const json &source, BackendLeftMessage &message)
+{
+    source.at(0).get_to(message.backend.id);
+    source.at(1).get_to(message.backend.startedAt);
+}
+
 json encode(const RolloutProgressMessage &message)
 {
     return {message.service, message.targetVersion, message.step, static_cast<int>(message.outcome),
--- a/modules/fleet/messages.h
+++ b/modules/fleet/messages.h
@@ -27,6 +27,15 @@
     std::uint32_t relayCapacity = 0;
 };
 
+/** One lifetime of a backend server. */
+struct BackendLifetime
+{
+    std::string id;
+    std::uint64_t startedAt = 0; ///< Unix milliseconds; zero if unknown.
+
+    bool operator==(const BackendLifetime &) const = default;
+};
+
 /** The first message on a link, sent by both ends. */
 struct GreetingMessage
 {
@@ -234,6 +243,15 @@
     std::string backend; ///< Id of the crashed one; empty if the request has since run well.
 };
 
+/**
+ * Tells a node's new process which backend server on its VM has said that it shuts down. The
+ * process that acknowledged that has ended, and late heartbeats would bring the server back.
+ */
+struct BackendLeftMessage
+{
+    BackendLifetime backend;
+};
+
 /** Liveness probe, or the reply to one. */
 struct ProbeMessage
 {
@@ -271,7 +289,7 @@
                      WorkCancelMessage, WorkResumeMessage, TableFetchMessage, TableRecordsMessage,
                      VersionEvidenceMessage, CrashSuspectMessage, RolloutProgressMessage,
                      ProbeMessage, ContactsFetchMessage, ContactsMessage, ResponsePartMessage,
-                     EvidenceBatchMessage>;
+                     EvidenceBatchMessage, BackendLeftMessage>;
 
 /** Returns the name used in logs. */
 std::string_view refusalName(WorkRefusal refusal);
--- a/modules/fleet/tests/test_fleet_network.cpp
+++ b/modules/fleet/tests/test_fleet_network.cpp
@@ -19,12 +19,13 @@
     FakeLinkTransport transport;
     FleetNetwork network;
 
-    FleetNode(FakeLinkHub &hub, const std::string &domain, std::uint16_t port)
+    FleetNode(FakeLinkHub &hub, const std::string &domain, std::uint16_t port,
+              std::uint64_t incarnation = 1)
         : transport(hub, Endpoint{"127.0.0.1", port})
         , network(FleetNetworkOptions{.self = {.node = joinText(domain, "-", port),
                                                .domain = domain,
                                                .linkEndpoint = {"127.0.0.1", port},
-                                               .incarnation = 1},
+                                               .incarnation = incarnation},
                                       .randomSeed = port},
                   transport, hub.timers)
     {
@@ -76,6 +77,58 @@
     REQUIRE(bytesToOpenLink(40) == bytesToOpenLink(2));
 }
 
+namespace {
+
+/** Records what other nodes say about the backend server of an earlier process. */
+struct LeftBackendObserver final : public FleetObserver
+{
+    std::vector<BackendLifetime> left;
+
+    void messageReceived(const std::string &, const FleetMessage &message) override
+    {
+        if (const BackendLeftMessage *found = std::get_if<BackendLeftMessage>(&message))
+            left.push_back(found->backend);
+    }
+    void linksChanged(const std::string &) override {}
+};
+
+} // namespace
+
+// Guards against a restarted owner that takes a late heartbeat of a backend server that has left.
+TEST_CASE("a new process learns from its peers which backend server on its VM has left", "[fleet]")
+{
+    Fleet fleet(3);
+    FleetNode &ended = *fleet.nodes.back();
+    const BackendLifetime backend{.id = "i", .startedAt = 70};
+    SECTION("it was leaving when the process ended")
+    {
+        ended.network.setStatus({.backend = {.id = "i", .startedAt = 70, .leaving = true}},
+                                StatusAudience::Everywhere);
+        fleet.timers.advance(milliseconds(10));
+        ended.transport.closeAll();
+        fleet.timers.advance(milliseconds(5));
+        FleetNode successor(fleet.hub, "a", 3, 2);
+        LeftBackendObserver observer;
+        successor.network.addObserver(observer);
+        successor.network.addContacts({fleet.firstContact()});
+        fleet.timers.advance(milliseconds(1'000));
+        REQUIRE(observer.left.size() == 2);
+        CHECK(observer.left[0] == backend);
+        CHECK(observer.left[1] == backend);
+    }
+    SECTION("a link of the same process is replaced")
+    {
+        ended.network.setStatus({.backend = {.id = "i", .startedAt = 70, .leaving = true}},
+                                StatusAudience::Everywhere);
+        LeftBackendObserver observer;
+        ended.network.addObserver(observer);
+        fleet.timers.advance(milliseconds(10));
+        ended.transport.closeAll();
+        fleet.timers.advance(milliseconds(1'000));
+        CHECK(observer.left.empty());
+    }
+}
+
 TEST_CASE("A node discovers all others through one node of its failure domain", "[fleet]")
 {
     Fleet fleet(10);
--- a/modules/owner/backend_owner.cpp
+++ b/modules/owner/backend_owner.cpp
@@ -97,10 +97,23 @@
 }
 
 void BackendOwner::deregister(const std::string &id, std::optional<std::uint64_t> startedAt)
+{
+    removeBackend(id, startedAt, "it has deregistered");
+}
+
+void BackendOwner::backendLeft(const BackendLifetime &backend)
+{
+    const std::optional<std::uint64_t> startedAt =
+            backend.startedAt == 0 ? std::nullopt : std::optional(backend.startedAt);
+    removeBackend(backend.id, startedAt, "it told an earlier process of this node");
+}
+
+void BackendOwner::removeBackend(const std::string &id, std::optional<std::uint64_t> startedAt,
+                                 std::string_view reason)
 {
     if (m_registration.deregister(id, startedAt) != RegistrationOutcome::Accepted)
         return;
-    logEvent(Event::BackendLeaving, {{"backend", id}, {"reason", "it has deregistered"}});
+    logEvent(Event::BackendLeaving, {{"backend", id}, {"reason", reason}});
     refuseWaiting(WorkRefusal::Draining);
     m_observer.ownerStatusChanged();
 }
--- a/modules/owner/backend_owner.h
+++ b/modules/owner/backend_owner.h
@@ -147,6 +147,8 @@
     void recordAnswerHeaders(const Work &work, const std::vector<HttpHeader> &headers);
     void recordRateLimit(std::string_view header);
     void recordLeaving();
+    void removeBackend(const std::string &id, std::optional<std::uint64_t> startedAt,
+                       std::string_view reason);
     bool isCold() const;
     /** Returns how many requests per second a cold backend server is given; 0 if it is not cold. */
     double coldRate() const;
@@ -159,6 +161,9 @@
     absl::Status heartbeat(const BackendHeartbeat &heartbeat);
     /** Processes the deregistration of a backend server that shuts down. */
     void deregister(const std::string &id, std::optional<std::uint64_t> startedAt);
+    /** Records that a backend server has told an earlier process of this node that it shuts down.
+     */
+    void backendLeft(const BackendLifetime &backend);
 
     void setPolicy(const ServicePolicy &policy);
     /** Sets whether the operator has taken this failure domain out. */
--- a/modules/owner/backend_registration.cpp
+++ b/modules/owner/backend_registration.cpp
@@ -61,10 +61,15 @@
 RegistrationOutcome BackendRegistration::deregister(const std::string &id,
                                                     std::optional<std::uint64_t> startedAt)
 {
-    const bool isCurrent = m_current && m_current->id == id;
+    // A late or repeated message may be of an earlier lifetime under the same id.
+    const bool isCurrent =
+            m_current && m_current->id == id
+            && (!startedAt || !m_current->startedAt || *startedAt >= *m_current->startedAt);
     if (isCurrent && !startedAt)
         startedAt = m_current->startedAt;
-    m_deregistrations.push_back(Deregistration{.id = id, .startedAt = startedAt});
+    const Deregistration deregistration{.id = id, .startedAt = startedAt};
+    std::erase(m_deregistrations, deregistration);
+    m_deregistrations.push_back(deregistration);
     if (m_deregistrations.size() > MaxStoredDeregistrations)
         m_deregistrations.pop_front();
     if (!isCurrent)
--- a/modules/owner/backend_registration.h
+++ b/modules/owner/backend_registration.h
@@ -31,6 +31,8 @@
     {
         std::string id;
         std::optional<std::uint64_t> startedAt;
+
+        bool operator==(const Deregistration &) const = default;
     };
 
 private:
--- a/modules/owner/tests/test_backend_owner.cpp
+++ b/modules/owner/tests/test_backend_owner.cpp
@@ -101,6 +101,30 @@
     CHECK(findHeader(headers, "Left") == "990");
 }
 
+// Guards against requests to a backend server whose leaving an ended process had acknowledged.
+TEST_CASE("a backend server that left before this process started is not used after a late "
+          "heartbeat")
+{
+    OwnerFixture fixture;
+    SECTION("other nodes tell of it after the heartbeat")
+    {
+        fixture.owner.backendLeft({.id = "i-1", .startedAt = 1});
+    }
+    SECTION("other nodes tell of it first")
+    {
+        fixture.owner.backendLeft({.id = "i-1", .startedAt = 1});
+        REQUIRE(fixture.sendHeartbeat().ok());
+    }
+    CHECK(fixture.owner.status().availability != BackendAvailability::Ready);
+    CHECK(fixture.owner.status().leaving);
+    fixture.run("1");
+    CHECK(fixture.http.sentRequests.empty());
+    // It starts again under its id; what is said of its earlier lifetime no longer matters.
+    REQUIRE(fixture.sendHeartbeat(false, 2).ok());
+    fixture.owner.backendLeft({.id = "i-1", .startedAt = 1});
+    CHECK(fixture.owner.status().availability == BackendAvailability::Ready);
+}
+
 TEST_CASE("a request is reported as not run only if it certainly did not run")
 {
     OwnerFixture fixture;
--- a/modules/owner/tests/test_backend_registration.cpp
+++ b/modules/owner/tests/test_backend_registration.cpp
@@ -67,4 +67,24 @@
     CHECK(registration.current()->id == "b");
 }
 
+TEST_CASE("a late deregistration of an earlier lifetime does not remove the present one")
+{
+    BackendRegistration registration;
+    registration.heartbeat(makeHeartbeat("a", 1, 300));
+    CHECK(registration.deregister("a", 100) == RegistrationOutcome::Stale);
+    REQUIRE(registration.current().has_value());
+    CHECK(registration.heartbeat(makeHeartbeat("a", 2, 300)) == RegistrationOutcome::Accepted);
+    CHECK(registration.heartbeat(makeHeartbeat("a", 9, 100)) == RegistrationOutcome::Deregistered);
+}
+
+TEST_CASE("a deregistration that is repeated does not displace others")
+{
+    BackendRegistration registration;
+    registration.deregister("first", 100);
+    for (int i = 0; i < 1'000; ++i)
+        registration.deregister("second", 200);
+    CHECK(registration.heartbeat(makeHeartbeat("first", 9, 100))
+          == RegistrationOutcome::Deregistered);
+}
+
 } // namespace jacinthshift
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -418,6 +418,8 @@
 
 void MeshNode::Components::messageReceived(const std::string &, const FleetMessage &message)
 {
+    if (const BackendLeftMessage *left = std::get_if<BackendLeftMessage>(&message))
+        owner.backendLeft(left->backend);
     const CrashSuspectMessage *suspect = std::get_if<CrashSuspectMessage>(&message);
     if (suspect == nullptr)
         return;
