Conclude a crash from lost connections without a second request

Cause: a crash was concluded only at the second failed connection in a row. With little traffic the server was back before, and its heartbeat reset the count.

Change: an owner whose backend server loses the connections of all its requests asks the health path over a new connection. No connection, or another server there, is a crash. Else the next lifetime shows it. Crashes count by lifetime, not by id, since a server may restart under its id.

Failed before (mutant without these parts): "suspected.size() == 1" and "Suspected" in test_backend_owner; the third case aborted in the mutant, as no probe was pending.

--- a/modules/owner/backend_owner.cpp
+++ b/modules/owner/backend_owner.cpp
@@ -41,6 +41,7 @@
     , m_observer(observer)
     , m_admission(options.admission)
     , m_rateLimit(options.rateLimit)
+    , m_probe(BackendProbeOptions{.headers = options.headers}, client, timers)
 {
 }
 
@@ -50,6 +51,7 @@
         return absl::InvalidArgumentError(
                 joinText("this VM runs service ", m_options.service, ", not ", heartbeat.service));
     const BackendAvailability oldAvailability = availability();
+    const std::optional<BackendHeartbeat> previous = m_registration.current();
     const RegistrationOutcome outcome = m_registration.heartbeat(heartbeat);
     if (outcome == RegistrationOutcome::Stale || outcome == RegistrationOutcome::Deregistered) {
         logEvent(Event::HeartbeatIgnored,
@@ -72,11 +74,16 @@
         m_evidence.clear();
         m_recentFailures.reset();
         m_recentStarts.clear();
+        m_probe.cancel();
+        // It replaced the one before without its leaving, so that one has crashed.
+        if (previous && !previous->draining && m_lostRequests.size() <= m_options.maxLateSuspects)
+            reportSuspects(*previous);
         logEvent(Event::BackendAnnounced, {{"backend", heartbeat.id},
                                            {"version", heartbeat.version},
                                            {"slots", heartbeat.slots},
                                            {"cold_ms", heartbeat.coldRemaining.count()},
-                                           {"lost_requests", m_lostFingerprints.size()}});
+                                           {"lost_requests", m_lostRequests.size()}});
+        m_lostRequests.clear();
     } else if (wasWarm && isCold()) {
         logEvent(Event::BackendTurnedCold, {{"backend", heartbeat.id},
                                             {"source", "heartbeat"},
@@ -448,11 +455,13 @@
     case HttpFailure::ConnectFailed:
         outcome.refusal = WorkRefusal::Unreachable;
         outcome.reachedBackend = false;
-        recordConnectFailure();
+        if (work.lifetime == m_lifetime)
+            recordConnectFailure();
         return outcome;
     case HttpFailure::ConnectionLost:
         outcome.refusal = WorkRefusal::Lost;
-        recordConnectionLoss(work.fingerprint);
+        if (work.lifetime == m_lifetime)
+            recordConnectionLoss(work.fingerprint);
         return outcome;
     case HttpFailure::TimedOut:
     case HttpFailure::Cancelled:
@@ -463,6 +472,10 @@
         return outcome;
     }
     m_connectFailures = 0;
+    // A backend server that answers what was sent after the loss has not crashed with it.
+    if (work.lifetime == m_lifetime && !m_lostRequests.empty()
+        && work.startedAt > m_lostRequests.back().at)
+        m_lostRequests.clear();
     const std::vector<HttpHeader> &headers = result.response.headers;
     const bool misdirected = result.response.status == StatusMisdirected;
     // A misdirected request was answered by another backend server.
@@ -524,55 +537,76 @@
 void BackendOwner::recordConnectFailure()
 {
     ++m_connectFailures;
-    if (m_connectFailures < m_options.connectFailureThreshold || m_unreachable)
-        return;
-    m_unreachable = true;
-    m_assumeCold = true;
-    const std::optional<BackendHeartbeat> &backend = m_registration.current();
-    logEvent(Event::BackendLost,
-             {{"backend", backend ? backend->id : std::string()}, {"reason", "cannot be reached"}});
-    reportSuspects();
-    refuseWaiting(WorkRefusal::Unreachable);
-    m_observer.ownerStatusChanged();
+    if (m_connectFailures >= m_options.connectFailureThreshold)
+        recordCrash("cannot be reached");
 }
 
 void BackendOwner::recordConnectionLoss(std::uint64_t fingerprint)
 {
     const SteadyTime now = m_timers.now();
-    std::size_t expired = 0;
-    while (expired < m_connectionLostAt.size()
-           && now - m_connectionLostAt[expired] > m_options.crashWindow)
-        ++expired;
-    m_connectionLostAt.erase(m_connectionLostAt.begin(),
-                             m_connectionLostAt.begin() + static_cast<std::ptrdiff_t>(expired));
-    m_lostFingerprints.erase(m_lostFingerprints.begin(),
-                             m_lostFingerprints.begin() + static_cast<std::ptrdiff_t>(expired));
-    m_connectionLostAt.push_back(now);
-    m_lostFingerprints.push_back(fingerprint);
+    std::erase_if(m_lostRequests, [&](const LostRequest &lost) {
+        return now - lost.at > m_options.crashWindow;
+    });
+    m_lostRequests.push_back(LostRequest{.fingerprint = fingerprint, .at = now});
     const std::optional<BackendHeartbeat> &backend = m_registration.current();
     logEvent(Event::BackendConnectionLost, {{"backend", backend ? backend->id : std::string()},
                                             {"fingerprint", formatHash(fingerprint)},
-                                            {"lost", m_connectionLostAt.size()},
+                                            {"lost", m_lostRequests.size()},
                                             {"running", m_admission.running()}});
-    const bool allLost = m_admission.running() <= m_connectionLostAt.size();
-    if (m_connectionLostAt.size() < m_options.connectionLossThreshold && !allLost)
+    const bool allLost = m_admission.running() <= m_lostRequests.size();
+    if (m_lostRequests.size() < m_options.connectionLossThreshold && !allLost)
         return;
     // It may be restarting. Until the next heartbeat it is given only the load for a cold one.
     m_assumeCold = true;
     updateStartRate();
+    probeForCrash();
 }
 
-void BackendOwner::reportSuspects()
+void BackendOwner::probeForCrash()
+{
+    const std::optional<BackendHeartbeat> &backend = m_registration.current();
+    // While few requests arrive, no other would show in time that nothing listens any more.
+    if (!backend || backend->draining || m_unreachable)
+        return;
+    m_probe.send(ProbeTarget{.server = backend->endpoint,
+                             .path = m_policy.healthPath,
+                             .backend = backend->id,
+                             .newConnection = true},
+                 [this](const ProbeResult &result) {
+                     if (result.outcome == ProbeResult::Outcome::NoConnection)
+                         recordCrash("lost its connections and accepts no new one");
+                     else if (result.outcome == ProbeResult::Outcome::Replaced)
+                         recordCrash("lost its connections and was replaced");
+                     else if (result.outcome == ProbeResult::Outcome::Answered)
+                         m_lostRequests.clear();
+                 });
+}
+
+void BackendOwner::recordCrash(std::string_view reason)
 {
+    if (m_unreachable)
+        return;
+    m_unreachable = true;
+    m_assumeCold = true;
     const std::optional<BackendHeartbeat> &backend = m_registration.current();
-    const std::string id = backend ? backend->id : std::string();
+    logEvent(Event::BackendLost,
+             {{"backend", backend ? backend->id : std::string()}, {"reason", reason}});
+    if (backend && !backend->draining)
+        reportSuspects(*backend);
+    m_lostRequests.clear();
+    refuseWaiting(WorkRefusal::Unreachable);
+    m_observer.ownerStatusChanged();
+}
+
+void BackendOwner::reportSuspects(const BackendHeartbeat &crashed)
+{
+    // A backend server that restarts under its id crashes again as another lifetime.
+    const std::string lifetime = joinText(crashed.id, "#", crashed.startedAt.value_or(0));
     const SteadyTime now = m_timers.now();
-    for (const std::uint64_t fingerprint : m_lostFingerprints) {
-        if (m_poison.recordCrash(fingerprint, id, now))
-            m_observer.requestSuspected(fingerprint, id);
+    for (const LostRequest &lost : m_lostRequests) {
+        if (m_poison.recordCrash(lost.fingerprint, lifetime, now))
+            m_observer.requestSuspected(lost.fingerprint, lifetime);
     }
-    m_connectionLostAt.clear();
-    m_lostFingerprints.clear();
 }
 
 void BackendOwner::finish(std::uint64_t id, const WorkResult &result)
--- a/modules/owner/backend_owner.h
+++ b/modules/owner/backend_owner.h
@@ -10,6 +10,7 @@
 #include "modules/admission/poison_registry.h"
 #include "modules/fleet/call_server.h"
 #include "modules/owner/admission_queue.h"
+#include "modules/owner/backend_probe.h"
 #include "modules/owner/backend_registration.h"
 #include "modules/owner/failure_rate.h"
 #include "modules/owner/recent_starts.h"
@@ -46,6 +47,12 @@
      * the connections of all running requests.
      */
     std::uint32_t connectionLossThreshold = 2;
+    /**
+     * Most requests that are reported as possible causes of a crash that only the next lifetime of
+     * the backend server has shown. Among more, most are not the cause, and have succeeded
+     * elsewhere in the meantime.
+     */
+    std::size_t maxLateSuspects = 2;
     /**
      * Upper bound of the load on a cold backend server, as a multiple of the policy's
      * coldRequestsPerSecond. Set by the operator.
@@ -96,6 +103,13 @@
         std::uint64_t lifetime = 0; ///< Number of that backend server's lifetime, see m_lifetime.
     };
 
+    /** A request whose connection was closed before the answer. */
+    struct LostRequest
+    {
+        std::uint64_t fingerprint = 0;
+        SteadyTime at;
+    };
+
     BackendOwnerOptions m_options;
     HttpClient &m_client;
     TimerService &m_timers;
@@ -118,8 +132,9 @@
     bool m_leaving = false;
     std::string m_rolloutTarget; ///< Version being rolled out; empty if there is none.
     std::uint32_t m_connectFailures = 0;
-    std::vector<SteadyTime> m_connectionLostAt;    ///< Connection losses within crashWindow.
-    std::vector<std::uint64_t> m_lostFingerprints; ///< Requests of those connections.
+    /** Requests whose connections were lost within crashWindow, oldest first. */
+    std::vector<LostRequest> m_lostRequests;
+    BackendProbe m_probe;
     FailureRate m_recentFailures{FailureRateOptions{}};
     RecentStarts m_recentStarts; ///< On the current backend server.
     Timer m_queueTimer;
@@ -137,7 +152,11 @@
                         std::chrono::microseconds serviceTime);
     void recordConnectFailure();
     void recordConnectionLoss(std::uint64_t fingerprint);
-    void reportSuspects();
+    /** Asks a backend server that has lost its connections whether it still runs. */
+    void probeForCrash();
+    /** Reports the lost requests as possible causes, and refuses requests until a heartbeat. */
+    void recordCrash(std::string_view reason);
+    void reportSuspects(const BackendHeartbeat &crashed);
     void processQueue();
     void refuseWaiting(WorkRefusal reason);
     void updateStartRate();
--- a/modules/owner/tests/test_backend_owner.cpp
+++ b/modules/owner/tests/test_backend_owner.cpp
@@ -16,6 +16,8 @@
                               .callerService = "Caller",
                               .notRun = "Not-Run",
                               .seal = "Seal",
+                              .instance = "Instance",
+                              .coldMilliseconds = "Cold",
                               .leaving = "Leaving"};
 
 struct RecordingObserver final : public OwnerObserver
@@ -267,6 +269,100 @@
     CHECK(fixture.http.sentRequests.size() - before <= 12);
 }
 
+namespace {
+
+/** An owner that may ask its backend server, which serves one request at a time. */
+struct QuietOwner : OwnerFixture
+{
+    QuietOwner()
+    {
+        owner.setPolicy(ServicePolicy{.healthPath = "/health", .coldRequestsPerSecond = 10.0});
+    }
+    void loseRequest(const std::string &id)
+    {
+        run(id);
+        http.fail(HttpFailure::ConnectionLost, Verdict::MayHaveRun);
+    }
+};
+
+} // namespace
+
+// Guards against a request that crashes a backend server each time it comes in a quiet hour.
+TEST_CASE("a crash is recorded although no other request meets it")
+{
+    QuietOwner fixture;
+    fixture.loseRequest("bad");
+    REQUIRE(fixture.http.pendingExchanges.size() == 1);
+    CHECK(fixture.http.sentRequests.back().target == "/health");
+    SECTION("nothing listens any more")
+    {
+        fixture.http.fail(HttpFailure::ConnectFailed, Verdict::NotRun);
+        CHECK(fixture.observer.suspected.size() == 1);
+        CHECK(fixture.owner.status().availability == BackendAvailability::Absent);
+    }
+    SECTION("another backend server listens there")
+    {
+        fixture.http.respond(200, {{"Instance", "i-2"}});
+        CHECK(fixture.observer.suspected.size() == 1);
+    }
+    SECTION("it restarts before it was asked")
+    {
+        fixture.http.fail(HttpFailure::TimedOut, Verdict::MayHaveRun);
+        CHECK(fixture.observer.suspected.empty());
+        fixture.timers.advance(milliseconds(3'000));
+        REQUIRE(fixture.sendHeartbeat(false, 2).ok());
+        CHECK(fixture.observer.suspected.size() == 1);
+    }
+    SECTION("it still runs")
+    {
+        fixture.http.respond(200, {{"Instance", "i-1"}, {"Cold", "0"}});
+        REQUIRE(fixture.sendHeartbeat(false, 2).ok());
+        CHECK(fixture.observer.suspected.empty());
+    }
+}
+
+TEST_CASE("a request that crashes a backend server twice under one id is refused")
+{
+    QuietOwner fixture;
+    for (const std::uint64_t startedAt : {2, 3}) {
+        fixture.loseRequest("bad");
+        fixture.http.fail(HttpFailure::ConnectFailed, Verdict::NotRun);
+        REQUIRE(fixture.sendHeartbeat(false, startedAt).ok());
+    }
+    const std::size_t before = fixture.http.sentRequests.size();
+    fixture.run("bad");
+    CHECK(fixture.results.back().refusal == WorkRefusal::Suspected);
+    CHECK(fixture.results.back().verdict == Verdict::NotRun);
+    CHECK(fixture.http.sentRequests.size() == before);
+    fixture.run("other");
+    CHECK(fixture.http.sentRequests.size() == before + 1);
+}
+
+TEST_CASE("a request whose connection is lost is not suspected without a crash")
+{
+    QuietOwner fixture;
+    fixture.loseRequest("lost");
+    fixture.http.fail(HttpFailure::TimedOut, Verdict::MayHaveRun);
+    SECTION("a later request is answered")
+    {
+        fixture.timers.advance(milliseconds(10));
+        fixture.run("next");
+        fixture.http.respond(200, {{"Seal", "x"}});
+        REQUIRE(fixture.sendHeartbeat(false, 2).ok());
+    }
+    SECTION("the backend server had said that it leaves")
+    {
+        REQUIRE(fixture.sendHeartbeat(true).ok());
+        REQUIRE(fixture.sendHeartbeat(false, 2).ok());
+    }
+    SECTION("it deregisters")
+    {
+        fixture.owner.deregister("i-1", std::nullopt);
+        REQUIRE(fixture.sendHeartbeat(false, 2).ok());
+    }
+    CHECK(fixture.observer.suspected.empty());
+}
+
 TEST_CASE("slow version: requests cancelled after their target latency count as failures")
 {
     OwnerFixture fixture;
--- a/servers/http_client.h
+++ b/servers/http_client.h
@@ -38,7 +38,10 @@
     Endpoint server;
     std::chrono::milliseconds timeout{1000};        ///< From send() to the complete response.
     std::chrono::milliseconds connectTimeout{1000}; ///< From send() to the open connection.
-    /** Connections idle for longer are not reused. If unset, the limit depends on the method. */
+    /**
+     * Connections idle for longer are not reused; with a negative value none is. If unset, the
+     * limit depends on the method.
+     */
     std::optional<std::chrono::milliseconds> maxIdleTime;
     /**
      * A header that the server echoes, with its value in the request. A response with another value
