Tell new processes which requests have crashed backend servers

Cause: the registry of such requests is each process's memory, and only news was sent, so a new process began without any.

--- a/modules/admission/poison_registry.cpp
+++ b/modules/admission/poison_registry.cpp
@@ -1,5 +1,9 @@
 #include "modules/admission/poison_registry.h"
 
+#include <algorithm>
+#include <functional>
+#include <utility>
+
 #include "core/hash.h"
 
 namespace jacinthshift {
@@ -30,6 +34,24 @@
            && found->second.backends.size() >= m_options.crashesToRefuse;
 }
 
+std::vector<RecordedCrash> PoisonRegistry::newestCrashes(std::size_t limit) const
+{
+    std::vector<std::pair<SteadyTime, std::uint64_t>> newestFirst;
+    newestFirst.reserve(m_suspects.size());
+    for (const auto &[fingerprint, suspect] : m_suspects)
+        newestFirst.emplace_back(suspect.until, fingerprint);
+    std::sort(newestFirst.begin(), newestFirst.end(), std::greater<>());
+    std::vector<RecordedCrash> crashes;
+    for (const auto &[until, fingerprint] : newestFirst) {
+        for (const std::string &backend : m_suspects.at(fingerprint).backends) {
+            if (crashes.size() == limit)
+                return crashes;
+            crashes.push_back(RecordedCrash{.fingerprint = fingerprint, .backend = backend});
+        }
+    }
+    return crashes;
+}
+
 void PoisonRegistry::expire(SteadyTime now)
 {
     std::erase_if(m_suspects, [now](const auto &pair) { return pair.second.until <= now; });
--- a/modules/fleet/message_codec.cpp
+++ b/modules/fleet/message_codec.cpp
@@ -389,6 +389,20 @@
     source.at(1).get_to(message.backend.startedAt);
 }
 
+json encode(const KnownCrashesMessage &message)
+{
+    json crashes = json::array();
+    for (const CrashSuspectMessage &crash : message.crashes)
+        crashes.push_back(encode(crash));
+    return crashes;
+}
+
+void decode(const json &source, KnownCrashesMessage &message)
+{
+    for (const json &crash : source)
+        decode(crash, message.crashes.emplace_back());
+}
+
 json encode(const RolloutProgressMessage &message)
 {
     return {message.service, message.targetVersion, message.step, static_cast<int>(message.outcome),
--- a/modules/fleet/messages.h
+++ b/modules/fleet/messages.h
@@ -240,7 +240,7 @@
 struct CrashSuspectMessage
 {
     std::uint64_t fingerprint = 0; ///< Hash that is the same for equal requests.
-    std::string backend; ///< Id of the crashed one; empty if the request has since run well.
+    std::string backend; ///< The crashed lifetime; empty if the request has since run well.
 };
 
 /**
@@ -252,6 +252,12 @@
     BackendLifetime backend;
 };
 
+/** Tells a node's new process which requests have crashed backend servers, the last ones first. */
+struct KnownCrashesMessage
+{
+    std::vector<CrashSuspectMessage> crashes;
+};
+
 /** Liveness probe, or the reply to one. */
 struct ProbeMessage
 {
@@ -289,7 +295,7 @@
                      WorkCancelMessage, WorkResumeMessage, TableFetchMessage, TableRecordsMessage,
                      VersionEvidenceMessage, CrashSuspectMessage, RolloutProgressMessage,
                      ProbeMessage, ContactsFetchMessage, ContactsMessage, ResponsePartMessage,
-                     EvidenceBatchMessage, BackendLeftMessage>;
+                     EvidenceBatchMessage, BackendLeftMessage, KnownCrashesMessage>;
 
 /** Returns the name used in logs. */
 std::string_view refusalName(WorkRefusal refusal);
--- a/modules/fleet/tests/test_fleet_codec.cpp
+++ b/modules/fleet/tests/test_fleet_codec.cpp
@@ -55,6 +55,7 @@
             VersionEvidenceMessage{.service = "s", .routes = {{.route = "r"}}},
             CrashSuspectMessage{.fingerprint = ~0ULL, .backend = "b"},
             BackendLeftMessage{.backend = {.id = "i", .startedAt = 5}},
+            KnownCrashesMessage{.crashes = {{.fingerprint = ~0ULL, .backend = "b"}}},
             ProbeMessage{.reply = true},
             EvidenceBatchMessage{.reports = {{.node = "n", .sequence = 4, .service = "s"}}},
             ResponsePartMessage{.call = 3, .offset = 16, .bytes = std::string("\0\xff", 2)},
--- a/modules/owner/backend_owner.cpp
+++ b/modules/owner/backend_owner.cpp
@@ -544,9 +544,8 @@
 void BackendOwner::recordConnectionLoss(std::uint64_t fingerprint)
 {
     const SteadyTime now = m_timers.now();
-    std::erase_if(m_lostRequests, [&](const LostRequest &lost) {
-        return now - lost.at > m_options.crashWindow;
-    });
+    std::erase_if(m_lostRequests,
+                  [&](const LostRequest &lost) { return now - lost.at > m_options.crashWindow; });
     m_lostRequests.push_back(LostRequest{.fingerprint = fingerprint, .at = now});
     const std::optional<BackendHeartbeat> &backend = m_registration.current();
     logEvent(Event::BackendConnectionLost, {{"backend", backend ? backend->id : std::string()},
--- a/modules/owner/backend_probe.cpp
+++ b/modules/owner/backend_probe.cpp
@@ -21,22 +21,21 @@
                             .connectTimeout = m_options.connectTimeout};
     if (target.newConnection)
         options.maxIdleTime = std::chrono::milliseconds(-1);
-    const HttpRequest request{
-            .method = "GET",
-            .target = target.path,
-            .headers = {{m_options.headers.expectedInstance, target.backend}}};
+    const HttpRequest request{.method = "GET",
+                              .target = target.path,
+                              .headers = {{m_options.headers.expectedInstance, target.backend}}};
     const std::uint64_t probe = ++m_lastProbe;
     const SteadyTime sentAt = m_timers.now();
-    m_call = m_client.send(
-            options, request,
-            [this, probe, sentAt, target, callback = std::move(callback)](const HttpResult &result) {
-                if (probe != m_lastProbe)
-                    return;
-                m_call = HttpCallId::None;
-                ProbeResult shown = evaluate(target, result);
-                shown.sentAt = sentAt;
-                callback(shown);
-            });
+    m_call = m_client.send(options, request,
+                           [this, probe, sentAt, target,
+                            callback = std::move(callback)](const HttpResult &result) {
+                               if (probe != m_lastProbe)
+                                   return;
+                               m_call = HttpCallId::None;
+                               ProbeResult shown = evaluate(target, result);
+                               shown.sentAt = sentAt;
+                               callback(shown);
+                           });
 }
 
 void BackendProbe::cancel()
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -19,6 +19,7 @@
 #include "modules/feed/table_sync.h"
 #include "modules/forwarding/forwarder.h"
 #include "modules/owner/backend_owner.h"
+#include "modules/owner/crash_exchange.h"
 #include "modules/rollout/rollout_controller.h"
 #include "node/mesh_metrics.h"
 #include "node/node_discovery.h"
@@ -117,6 +118,7 @@
     WebsocketLinkTransport transport;
     FleetNetwork network;
     PoisonRegistry poison;
+    CrashExchange crashes;
     BackendOwner owner;
     CallServer callServer;
     RemoteCallClient remoteCallClient;
@@ -166,8 +168,11 @@
     void continueShutdown();
 
     void ownerStatusChanged() override { publishStatus(StatusAudience::Everywhere); }
-    void requestSuspected(std::uint64_t fingerprint, const std::string &backend) override;
-    void requestCleared(std::uint64_t fingerprint) override;
+    void requestSuspected(std::uint64_t fingerprint, const std::string &backend) override
+    {
+        crashes.report(fingerprint, backend);
+    }
+    void requestCleared(std::uint64_t fingerprint) override { crashes.reportCleared(fingerprint); }
     void messageReceived(const std::string &node, const FleetMessage &message) override;
     void linksChanged(const std::string &) override {}
 };
@@ -212,6 +217,7 @@
                                   .randomSeed = randomSeed},
               transport, timers)
     , poison(PoisonRegistryOptions{})
+    , crashes(CrashExchangeOptions{}, network, timers, poison)
     , owner(BackendOwnerOptions{.node = settings.node,
                                 .service = settings.service,
                                 .headers = wire::headerNames(),
@@ -404,31 +410,10 @@
             HttpResponse{.headers = {{"Content-Type", "application/json"}}, .body = "{}"});
 }
 
-void MeshNode::Components::requestSuspected(std::uint64_t fingerprint, const std::string &backend)
-{
-    logEvent(Event::CrashSuspected,
-             {{"fingerprint", formatHash(fingerprint)}, {"backend", backend}});
-    network.broadcast(CrashSuspectMessage{.fingerprint = fingerprint, .backend = backend});
-}
-
-void MeshNode::Components::requestCleared(std::uint64_t fingerprint)
-{
-    network.broadcast(CrashSuspectMessage{.fingerprint = fingerprint, .backend = ""});
-}
-
 void MeshNode::Components::messageReceived(const std::string &, const FleetMessage &message)
 {
     if (const BackendLeftMessage *left = std::get_if<BackendLeftMessage>(&message))
         owner.backendLeft(left->backend);
-    const CrashSuspectMessage *suspect = std::get_if<CrashSuspectMessage>(&message);
-    if (suspect == nullptr)
-        return;
-    const bool isNews =
-            suspect->backend.empty()
-                    ? poison.removeSuspect(suspect->fingerprint)
-                    : poison.recordCrash(suspect->fingerprint, suspect->backend, timers.now());
-    if (isNews && network.needsRelays())
-        network.broadcast(*suspect);
 }
 
 std::string MeshNode::Components::metricsText() const
