Ask a busy backend server whether it has become cold

Cause: owners learned of coldness from heartbeats only.

Change: while the starts of a second exceed what a cold backend server could bear, the owner asks the health path again after each 0.6 of that many starts. Once it says cold, the starts since it was last known to be warm are charged to the token bucket. A heartbeat from before no longer ends the cold time.

--- a/modules/owner/admission_queue.cpp
+++ b/modules/owner/admission_queue.cpp
@@ -83,8 +83,10 @@
     double wait = 0.0;
     if (m_running >= m_limit)
         wait = (ahead + 1) * meanServiceTimeOrDefault() / std::max(1U, m_limit);
-    if (m_startsPerSecond > 0.0)
-        wait = std::max(wait, (ahead + 1) * 1'000.0 / m_startsPerSecond);
+    if (m_startsPerSecond > 0.0) {
+        const double charged = std::max(0.0, -m_startTokens);
+        wait = std::max(wait, (ahead + 1 + charged) * 1'000.0 / m_startsPerSecond);
+    }
     return wait;
 }
 
--- a/modules/owner/admission_queue.h
+++ b/modules/owner/admission_queue.h
@@ -135,6 +135,9 @@
     /** Limits how many requests may start per second, for a reason; 0 for no limit. */
     void setStartRate(double perSecond, WorkRefusal reason, SteadyTime now);
 
+    /** Counts starts before the rate was limited as if they had been made under the limit. */
+    void chargeStarts(double starts) { m_startTokens -= starts; }
+
     /** Decides on a ticket and stores it in the queue if it has to wait. */
     AdmissionDecision offer(const AdmissionTicket &ticket, SteadyTime now);
     /** Records the end of a running request. A service time of zero is not a sample. */
--- a/modules/owner/backend_owner.cpp
+++ b/modules/owner/backend_owner.cpp
@@ -66,7 +66,10 @@
     m_unreachable = false;
     m_assumeCold = false;
     m_connectFailures = 0;
-    m_coldUntil = m_timers.now() + heartbeat.coldRemaining;
+    const SteadyTime coldUntil = m_timers.now() + heartbeat.coldRemaining;
+    // A heartbeat may have been sent before the backend server became cold again.
+    m_coldUntil = outcome == RegistrationOutcome::NewLifetime ? coldUntil
+                                                              : std::max(m_coldUntil, coldUntil);
     updateConcurrencyLimit();
     if (outcome == RegistrationOutcome::NewLifetime) {
         ++m_lifetime;
@@ -172,9 +175,49 @@
 {
     if (!isCold())
         return 0.0;
-    return m_policy.coldRequestsPerSecond > 0.0
-                   ? m_policy.coldRequestsPerSecond * m_options.coldFactor * m_options.coldMargin
-                   : m_options.defaultColdRate;
+    return coldBound() > 0.0 ? coldBound() * m_options.coldMargin : m_options.defaultColdRate;
+}
+
+void BackendOwner::probeForCold()
+{
+    const SteadyTime now = m_timers.now();
+    const std::optional<BackendHeartbeat> &backend = m_registration.current();
+    if (!backend || coldBound() <= 0.0 || isCold() || m_probe.isOutstanding()
+        || now - m_lastColdProbeAt < m_options.minColdProbeInterval)
+        return;
+    const auto starts = static_cast<double>(m_recentStarts.count(now));
+    const auto startsSinceWarm = static_cast<double>(m_recentStarts.countSince(m_knownWarmAt, now));
+    if (starts < coldBound() * m_options.coldMargin
+        || startsSinceWarm < coldBound() * m_options.coldProbeFraction)
+        return;
+    m_lastColdProbeAt = now;
+    m_probe.send(ProbeTarget{.server = backend->endpoint,
+                             .path = m_policy.healthPath,
+                             .backend = backend->id},
+                 [this](const ProbeResult &result) { coldProbed(result); });
+}
+
+void BackendOwner::coldProbed(const ProbeResult &result)
+{
+    if (result.outcome != ProbeResult::Outcome::Answered)
+        return;
+    const std::chrono::milliseconds cold =
+            result.coldRemaining.value_or(std::chrono::milliseconds(0));
+    if (cold.count() == 0) {
+        m_knownWarmAt = result.sentAt;
+        return;
+    }
+    const SteadyTime now = m_timers.now();
+    const std::size_t starts = m_recentStarts.countSince(m_knownWarmAt, now);
+    m_coldUntil = std::max(m_coldUntil, now + cold);
+    updateStartRate();
+    // What was started since it was last warm counts towards what a cold one may get.
+    m_admission.chargeStarts(static_cast<double>(starts));
+    logEvent(Event::BackendTurnedCold, {{"backend", m_registration.current()->id},
+                                        {"source", "probe"},
+                                        {"cold_ms", cold.count()},
+                                        {"starts", starts}});
+    m_observer.ownerStatusChanged();
 }
 
 void BackendOwner::updateStartRate()
@@ -424,6 +467,7 @@
                                                                   names.requestId))}};
     work.call = m_client.send(options, buildBackendRequest(work, timeLeft),
                               [this, id](HttpResult result) { answered(id, std::move(result)); });
+    probeForCold();
 }
 
 void BackendOwner::answered(std::uint64_t id, HttpResult result)
@@ -578,6 +622,7 @@
                          recordCrash("lost its connections and was replaced");
                      else if (result.outcome == ProbeResult::Outcome::Answered)
                          m_lostRequests.clear();
+                     coldProbed(result);
                  });
 }
 
--- a/modules/owner/backend_owner.h
+++ b/modules/owner/backend_owner.h
@@ -65,6 +65,13 @@
     double coldMargin = 0.85;
     /** Starts per second on a cold backend server if the policy sets no coldRequestsPerSecond. */
     double defaultColdRate = 10.0;
+    /**
+     * A backend server that may become cold at any moment is asked again after this fraction of
+     * what it could bear in a second while it is cold, so that it is found cold before it has had
+     * more.
+     */
+    double coldProbeFraction = 0.6;
+    std::chrono::milliseconds minColdProbeInterval{50};
     std::chrono::milliseconds queueCheckInterval{20}; ///< How often the queue is processed.
 };
 
@@ -124,9 +131,11 @@
     std::uint64_t m_lifetime = 0; ///< Counts the lifetimes of backend servers seen here.
     std::map<std::string, ArmEvidence> m_evidence; ///< By route, of the current backend server.
     SteadyTime m_coldUntil;
-    bool m_assumeCold = false;  ///< It may be cold although no heartbeat has reported that yet.
-    bool m_unreachable = false; ///< Replaced or not reachable since the last heartbeat.
-    bool m_hasAnswer = false;   ///< A backend server has answered this process.
+    SteadyTime m_knownWarmAt;     ///< When it was last asked and was not cold.
+    SteadyTime m_lastColdProbeAt; ///< When it was last asked whether it is cold.
+    bool m_assumeCold = false;    ///< It may be cold although no heartbeat has reported that yet.
+    bool m_unreachable = false;   ///< Replaced or not reachable since the last heartbeat.
+    bool m_hasAnswer = false;     ///< A backend server has answered this process.
     bool m_takenOut = false;
     bool m_braked = false;
     bool m_leaving = false;
@@ -169,6 +178,11 @@
     void removeBackend(const std::string &id, std::optional<std::uint64_t> startedAt,
                        std::string_view reason);
     bool isCold() const;
+    /** Returns the load that a cold backend server may get; zero if the policy sets none. */
+    double coldBound() const { return m_policy.coldRequestsPerSecond * m_options.coldFactor; }
+    /** Asks a backend server whether it is cold, if a cold one could not bear its load. */
+    void probeForCold();
+    void coldProbed(const ProbeResult &result);
     /** Returns how many requests per second a cold backend server is given; 0 if it is not cold. */
     double coldRate() const;
 
--- a/modules/owner/tests/test_backend_owner.cpp
+++ b/modules/owner/tests/test_backend_owner.cpp
@@ -363,6 +363,123 @@
     CHECK(fixture.observer.suspected.empty());
 }
 
+namespace {
+
+constexpr double ColdRate = 30.0;
+constexpr double ColdBound = ColdRate * 1.5;
+
+/**
+ * An owner under a steady load. Its backend server answers each request after 10 ms, and a probe at
+ * once, with the time for which it is cold.
+ */
+struct BusyOwner : OwnerFixture
+{
+    milliseconds loadPeriod{13}; ///< About 77 requests per second.
+    SteadyTime coldUntil;
+    std::vector<SteadyTime> coldArrivals; ///< Arrivals at the cold backend server.
+    std::size_t probes = 0;
+    std::size_t seen = 0; ///< Sent requests that the backend server has looked at.
+
+    BusyOwner() : OwnerFixture(1.5)
+    {
+        owner.setPolicy(ServicePolicy{.healthPath = "/health", .coldRequestsPerSecond = ColdRate});
+    }
+
+    void becomeCold(milliseconds time) { coldUntil = timers.now() + time; }
+
+    void receive()
+    {
+        for (; seen < http.sentRequests.size(); ++seen) {
+            if (http.sentRequests[seen].target == "/health")
+                ++probes;
+            else if (timers.now() < coldUntil)
+                coldArrivals.push_back(timers.now());
+        }
+    }
+    void answerAll()
+    {
+        while (!http.pendingExchanges.empty()) {
+            if (http.pendingExchanges.begin()->second.request.target != "/health") {
+                http.respond(200, {{"Seal", "x"}});
+                continue;
+            }
+            const auto cold = std::chrono::duration_cast<milliseconds>(coldUntil - timers.now());
+            http.respond(200, {{"Instance", "i-1"},
+                               {"Cold", std::to_string(std::max(0L, long(cold.count())))}});
+        }
+    }
+    void load(milliseconds time)
+    {
+        const SteadyTime end = timers.now() + time;
+        for (int request = 0; timers.now() < end; ++request) {
+            run(std::to_string(request));
+            receive();
+            timers.advance(milliseconds(10));
+            answerAll();
+            timers.advance(loadPeriod - milliseconds(10));
+            receive();
+        }
+    }
+    std::size_t mostInOneSecond() const
+    {
+        std::size_t most = 0;
+        for (std::size_t first = 0; first < coldArrivals.size(); ++first) {
+            std::size_t last = first;
+            while (last < coldArrivals.size()
+                   && coldArrivals[last] - coldArrivals[first] < std::chrono::seconds(1))
+                ++last;
+            most = std::max(most, last - first);
+        }
+        return most;
+    }
+};
+
+} // namespace
+
+// Guards against the warm load on a backend server that becomes cold between two heartbeats.
+TEST_CASE("a backend server that becomes cold by itself gets no more than it can bear")
+{
+    BusyOwner fixture;
+    const int moment = GENERATE(0, 70, 150, 290, 330);
+    fixture.load(milliseconds(2'000 + moment));
+    fixture.becomeCold(milliseconds(3'000));
+    fixture.load(milliseconds(600));
+    SECTION("its heartbeat from before arrives late")
+    {
+        REQUIRE(fixture.sendHeartbeat().ok());
+    }
+    SECTION("no heartbeat arrives") {}
+    fixture.load(milliseconds(2'200));
+    CHECK(static_cast<double>(fixture.mostInOneSecond()) <= ColdBound);
+    CHECK(fixture.coldArrivals.size() >= std::size_t(ColdRate));
+    const std::size_t before = fixture.http.sentRequests.size();
+    fixture.load(milliseconds(1'200));
+    CHECK(fixture.http.sentRequests.size() - before >= 70);
+}
+
+TEST_CASE("a backend server is asked whether it is cold only if a cold one could not bear its load")
+{
+    BusyOwner fixture;
+    SECTION("low load")
+    {
+        fixture.loadPeriod = milliseconds(35);
+        fixture.load(milliseconds(5'000));
+        CHECK(fixture.probes == 0);
+    }
+    SECTION("high load")
+    {
+        fixture.load(milliseconds(5'000));
+        CHECK(fixture.probes >= 5);
+        CHECK(fixture.probes <= 20);
+    }
+    SECTION("the policy sets no rate")
+    {
+        fixture.owner.setPolicy(ServicePolicy{.healthPath = "/health"});
+        fixture.load(milliseconds(2'000));
+        CHECK(fixture.probes == 0);
+    }
+}
+
 TEST_CASE("slow version: requests cancelled after their target latency count as failures")
 {
     OwnerFixture fixture;
