Bound what a node holds of long requests and of responses without end

Reported by another operator: a faulty server's bytes without end, in a head or a body, used up the memory of the machine that called it.

Seen here: the client held at most 64 MB for all exchanges, so the report did not show as such (the new test with 40 such responses passes on the code before as well). Its bound failed whichever exchange came last, so a sound response beside long ones was lost ("0 == 20000" before).

Change: received bytes of responses 32 MB, or an eighth of the VM's memory; above it the longest response ends. Bodies of requests 12 MB, or a sixteenth, for callers and at the owner each; a request beyond it is answered 503 with Retry-After before its body is read, and the rest of it is read and dropped for a second so that the response arrives.

--- a/drivers/beast/beast_http_client.cpp
+++ b/drivers/beast/beast_http_client.cpp
@@ -126,6 +126,8 @@
      */
     ConnectionPointer popIdle(const Endpoint &server, std::chrono::milliseconds maxIdle);
     void removeIdle(const Connection *connection);
+    /** Ends the exchange that has received most if all together have received too much. */
+    void endLongestIfExceeded();
     /** Ends the exchange, keeps or closes its connection and runs the callback. */
     void finish(const ConnectionPointer &connection, HttpResult result, bool reusable);
     ConnectionPointer find(HttpCallId id)
@@ -171,6 +173,18 @@
     });
 }
 
+void BeastHttpClient::State::endLongestIfExceeded()
+{
+    if (receivedBytes <= options.maxReceivedBytes)
+        return;
+    const auto longest =
+            std::max_element(active.begin(), active.end(), [](const auto &a, const auto &b) {
+                return a.second->received < b.second->received;
+            });
+    const ConnectionPointer connection = longest->second;
+    connection->fail(HttpFailure::Malformed);
+}
+
 void BeastHttpClient::State::finish(const ConnectionPointer &connection, HttpResult result,
                                     bool reusable)
 {
@@ -256,9 +270,13 @@
     if (outcome == SocketResult::WouldBlock)
         return;
     if (outcome == SocketResult::Progress) {
-        if (!addInput(buffer.data(), bytes) || !parseInput())
+        if (!addInput(buffer.data(), bytes) || !parseInput()) {
             fail(HttpFailure::Malformed);
-        else if (parser->is_done())
+            return;
+        }
+        if (!parser->is_done())
+            state.endLongestIfExceeded();
+        else
             acceptResponse();
         return;
     }
@@ -277,8 +295,7 @@
     received += size;
     state.receivedBytes += size;
     // Heads, chunk sizes and dropped responses get as many bytes again as a body may have.
-    return received <= 2 * (state.options.maxBodyBytes + MaxHeaderBytes)
-           && state.receivedBytes <= state.options.maxReceivedBytes;
+    return received <= 2 * (state.options.maxBodyBytes + MaxHeaderBytes);
 }
 
 bool BeastHttpClient::Connection::parseInput()
--- a/drivers/beast/beast_http_client.h
+++ b/drivers/beast/beast_http_client.h
@@ -15,10 +15,11 @@
     std::string localAddress;                   ///< Source IP address; empty for any.
     std::size_t maxBodyBytes = 8 * 1024 * 1024; ///< A longer response body is malformed.
     /**
-     * Bytes that all exchanges in progress may have received. The one that exceeds it is malformed,
-     * so that many long responses at once do not use up the memory.
+     * Bytes that all exchanges in progress may have received, so that many long responses at once
+     * do not use up the memory. Above it, the longest response is malformed: it may be one without
+     * end, and the others must not fail because of it.
      */
-    std::size_t maxReceivedBytes = 64 * 1024 * 1024;
+    std::size_t maxReceivedBytes = 32 * 1024 * 1024;
     /** Above this number, the connection that has been idle the longest is closed. */
     std::size_t maxIdleConnectionsPerServer = 32;
     /** A connection that was idle for longer is not reused. */
--- a/drivers/beast/beast_http_server.cpp
+++ b/drivers/beast/beast_http_server.cpp
@@ -1,9 +1,11 @@
 #include "drivers/beast/beast_http_server.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <optional>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/buffer.hpp>
@@ -26,6 +28,11 @@
 constexpr int StatusTimeout = 408;
 constexpr int StatusTooLarge = 413;
 constexpr int StatusHeaderTooLarge = 431;
+constexpr int StatusUnavailable = 503;
+/** How long the rest of a refused request is read, so that its caller can read the response. */
+constexpr std::chrono::milliseconds LingerTime{1'000};
+/** Bytes of further requests that are read before the response to the current one is written. */
+constexpr std::size_t MaxPipelinedBytes = 64 * 1024;
 
 int statusForParseError(const boost::beast::error_code &error)
 {
@@ -46,6 +53,7 @@
     std::unordered_map<Connection *, ConnectionPointer> connections;
     Timer timeoutCheckTimer;
     std::size_t openRequests = 0;
+    std::size_t heldBodyBytes = 0; ///< Of all requests that are being read or have no response.
     bool keepAliveDisabled = false;
 
     void acceptConnection(int descriptor);
@@ -74,12 +82,17 @@
     bool awaitingResponse = false; ///< A request was passed to the handler and has no response yet.
     bool keepAlive = true;
     bool closed = false;
+    bool lingering = false;        ///< Refused; the rest of its request is read and dropped.
+    std::size_t heldBodyBytes = 0; ///< What the current request takes of maxHeldBodyBytes.
     SteadyTime timeoutStart; ///< When the connection became idle or the first header byte arrived.
 
     void start();
     void socketReady();
     void readSome();
     void parseInput();
+    /** Reserves room for the body that is being read. Returns false if there is none. */
+    bool holdBody(State &serverState);
+    void releaseBody(State &serverState);
     /** Passes the parsed request to the handler. */
     void dispatchRequest(const std::shared_ptr<State> &serverState);
     /** Responds to invalid or late input with an error status and closes the connection. */
@@ -149,6 +162,11 @@
         if (connection->awaitingResponse || !connection->output.empty())
             continue;
         const SteadyTime::duration age = now - connection->timeoutStart;
+        if (connection->lingering) {
+            if (age > LingerTime)
+                idle.push_back(connection);
+            continue;
+        }
         if (connection->headerStarted() && !connection->parser->is_header_done()) {
             if (age > options.headerTimeout)
                 slow.push_back(connection);
@@ -205,9 +223,37 @@
         close();
         return;
     }
+    if (lingering)
+        return;
     input.append(buffer.data(), received);
     if (!awaitingResponse && output.empty())
         parseInput();
+    else if (input.size() >= MaxPipelinedBytes && awaitingResponse)
+        socket.stopWaiting(); // Until there is a response.
+    else if (input.size() >= 2 * MaxPipelinedBytes)
+        close(); // It sends requests but does not read the response.
+}
+
+bool BeastHttpServer::Connection::holdBody(State &serverState)
+{
+    if (!parser->is_header_done())
+        return true;
+    const std::size_t announced = parser->content_length().value_or(0);
+    const std::size_t needed = std::max(announced, parser->get().body().size());
+    if (needed <= heldBodyBytes)
+        return true;
+    const std::size_t added = needed - heldBodyBytes;
+    if (added > serverState.options.maxHeldBodyBytes
+        || serverState.heldBodyBytes > serverState.options.maxHeldBodyBytes - added)
+        return false;
+    heldBodyBytes = needed;
+    serverState.heldBodyBytes += added;
+    return true;
+}
+
+void BeastHttpServer::Connection::releaseBody(State &serverState)
+{
+    serverState.heldBodyBytes -= std::exchange(heldBodyBytes, 0);
 }
 
 void BeastHttpServer::Connection::parseInput()
@@ -221,12 +267,16 @@
         boost::beast::error_code error;
         const std::size_t used = parser->put(boost::asio::buffer(input), error);
         input.erase(0, used);
-        if (error == http::error::need_more)
-            return;
-        if (error) {
+        if (error && error != http::error::need_more) {
             respondWithError(statusForParseError(error));
             return;
         }
+        if (!holdBody(*serverState)) {
+            respondWithError(StatusUnavailable);
+            return;
+        }
+        if (error)
+            return;
     }
     if (parser->is_done())
         dispatchRequest(serverState);
@@ -258,10 +308,15 @@
     if (serverState == nullptr)
         return;
     keepAlive = false;
+    lingering = true;
     awaitingResponse = true;
     ++serverState->openRequests;
     input.clear();
-    respond(++requestNumber, HttpResponse{.status = status});
+    resetParser(*serverState);
+    HttpResponse response{.status = status};
+    if (status == StatusUnavailable)
+        response.headers.push_back({"Retry-After", "1"});
+    respond(++requestNumber, response);
 }
 
 void BeastHttpServer::Connection::respond(std::uint64_t number, const HttpResponse &response)
@@ -272,6 +327,7 @@
     awaitingResponse = false;
     --serverState->openRequests;
     callerGone = nullptr;
+    releaseBody(*serverState);
     keepAlive = keepAlive && serverState->allowsKeepAlive();
     output = serializeResponse(response, keepAlive);
     written = 0;
@@ -298,13 +354,15 @@
 
 void BeastHttpServer::Connection::finishResponse()
 {
-    if (!keepAlive) {
+    if (!keepAlive && !lingering) {
         close();
         return;
     }
     timeoutStart = EpollLoop::instance().now();
+    if (lingering)
+        socket.endWriting();
     waitForSocket();
-    if (!input.empty())
+    if (!input.empty() && !lingering)
         parseInput();
 }
 
@@ -321,6 +379,7 @@
     if (awaitingResponse)
         --serverState->openRequests;
     awaitingResponse = false;
+    releaseBody(*serverState);
     serverState->connections.erase(this);
     const std::function<void()> gone = std::exchange(callerGone, nullptr);
     if (gone != nullptr)
--- a/drivers/tcp/tcp_socket.cpp
+++ b/drivers/tcp/tcp_socket.cpp
@@ -101,6 +101,12 @@
     m_descriptor = -1;
 }
 
+void TcpSocket::endWriting()
+{
+    if (m_descriptor >= 0)
+        ::shutdown(m_descriptor, SHUT_WR);
+}
+
 SocketResult TcpSocket::write(const char *data, std::size_t size, std::size_t &written)
 {
     const ssize_t count = send(m_descriptor, data, size, MSG_NOSIGNAL);
--- a/drivers/tcp/tcp_socket.h
+++ b/drivers/tcp/tcp_socket.h
@@ -50,6 +50,9 @@
     /** Closes the connection; the peer gets a reset if it has sent bytes that were not read. */
     void close();
 
+    /** Tells the peer that no more bytes follow; the connection can still be read. */
+    void endWriting();
+
     /** Writes as much as the socket accepts and adds the number of bytes to written. */
     SocketResult write(const char *data, std::size_t size, std::size_t &written);
     /** Reads up to size bytes and sets received to their number. */
--- a/drivers/tests/test_http_clients.cpp
+++ b/drivers/tests/test_http_clients.cpp
@@ -1,12 +1,16 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <optional>
+#include <string>
 #include <vector>
 
 #include <glib.h>
+#include <malloc.h>
 
 #include "drivers/beast/beast_http_client.h"
+#include "drivers/epoll/epoll_loop.h"
 #include "drivers/soup/soup_http_client.h"
 #include "drivers/tcp/tcp_socket.h"
 
@@ -210,6 +214,84 @@
     CHECK(result->failure == HttpFailure::Malformed);
 }
 
+// Guards against a node that runs out of memory, with the requests of all its callers, because some
+// backend servers send bytes without end.
+TEST_CASE("responses without end use bounded memory and do not fail the exchanges beside them")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n";
+    const auto [begin, piece] = GENERATE_COPY(table<std::string, std::string>(
+            {{head + "\r\n", std::string(4'000, 'b')},
+             {head + "Transfer-Encoding: chunked\r\n\r\n", "a\r\n0123456789\r\n"},
+             {head + "Content-Length: 8000000\r\n\r\n", std::string(4'000, 'b')},
+             {head + "X: ", std::string(4'000, 'a')}}));
+    constexpr std::size_t NodeMemory = 256 * 1024 * 1024;
+    const auto usedBytes = [] {
+        const struct mallinfo2 info = mallinfo2();
+        return info.uordblks + info.hblkhd;
+    };
+    ScriptedServer endless(std::vector<std::string>(40, begin));
+    endless.endlessPiece = piece;
+    constexpr std::size_t SoundExchanges = 1'000;
+    ScriptedServer sound(std::vector<std::string>(SoundExchanges, okResponse));
+    BeastHttpClient client({});
+    const std::size_t before = usedBytes();
+    std::size_t most = before;
+    std::size_t ended = 0;
+    for (int i = 0; i < 40; ++i) {
+        client.send(HttpSendOptions{.server = endless.endpoint(),
+                                    .timeout = std::chrono::milliseconds(20'000)},
+                    HttpRequest{.method = "GET", .target = "/x"},
+                    [&ended](const HttpResult &) { ++ended; });
+    }
+    std::size_t served = 0;
+    std::size_t failed = 0;
+    bool waiting = false;
+    const SteadyTime start = EpollLoop::instance().now();
+    while (ended < 40 && EpollLoop::instance().now() - start < std::chrono::seconds(20)) {
+        if (!waiting && served + failed < SoundExchanges) {
+            waiting = true;
+            client.send(HttpSendOptions{.server = sound.endpoint(),
+                                        .timeout = std::chrono::milliseconds(5'000)},
+                        HttpRequest{.method = "GET", .target = "/x"},
+                        [&](const HttpResult &result) {
+                            waiting = false;
+                            ++(result.verdict == Verdict::Done ? served : failed);
+                        });
+        }
+        g_main_context_iteration(nullptr, TRUE);
+        most = std::max(most, usedBytes());
+    }
+    CHECK(ended == 40);
+    CHECK(served > 0);
+    CHECK(failed == 0);
+    // The rest of the node's memory is for all else that it does.
+    CHECK(most - before <= NodeMemory / 2);
+}
+
+// Guards against a sound response that fails because others have used up the room for received
+// bytes.
+TEST_CASE("above the limit of received bytes the longest response ends, not the newest")
+{
+    const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: ";
+    ScriptedServer stalled(
+            std::vector<std::string>(3, head + "50000\r\n\r\n" + std::string(30'000, 'b')));
+    ScriptedServer sound({head + "20000\r\n\r\n" + std::string(20'000, 'c')});
+    BeastHttpClient client({.maxReceivedBytes = 100'000});
+    int ended = 0;
+    for (int i = 0; i < 3; ++i) {
+        client.send(HttpSendOptions{.server = stalled.endpoint(),
+                                    .timeout = std::chrono::milliseconds(5'000)},
+                    HttpRequest{.method = "GET", .target = "/x"},
+                    [&ended](const HttpResult &) { ++ended; });
+    }
+    const SteadyTime start = EpollLoop::instance().now();
+    while (EpollLoop::instance().now() - start < std::chrono::milliseconds(100))
+        g_main_context_iteration(nullptr, FALSE);
+    REQUIRE(ended == 0);
+    CHECK(exchange(client, sound.endpoint(), "GET").response.body.size() == 20'000);
+    CHECK(ended == 1);
+}
+
 // Guards against callers that are told that a request did not run, because a backend server wrote
 // an earlier refusal once more: the request has run, or runs at a second backend server too.
 TEST_CASE("a refusal that is repeated on a kept connection does not answer the next request")
--- a/drivers/tests/test_http_server.cpp
+++ b/drivers/tests/test_http_server.cpp
@@ -118,6 +118,68 @@
     CHECK(fixture.requests.empty());
 }
 
+// Guards against a node that runs out of memory because callers send long bodies.
+TEST_CASE("a request whose body the server cannot hold is answered before its body is read")
+{
+    ServerFixture fixture(HttpServerOptions{.maxBodyBytes = 1'000'000, .maxHeldBodyBytes = 10'000});
+    fixture.delayResponses = true;
+    const std::string small =
+            "POST /s HTTP/1.1\r\nHost: h\r\nContent-Length: 6000\r\n\r\n" + std::string(6'000, 's');
+    RawClient held(small);
+    runUntil([&] { return fixture.requests.size() == 1; });
+    SECTION("announced")
+    {
+        RawClient refused("POST /l HTTP/1.1\r\nHost: h\r\nContent-Length: 5000\r\n\r\n");
+        runUntil([&] { return refused.ended; });
+        CHECK(refused.received.starts_with("HTTP/1.1 503"));
+        CHECK(refused.received.find("Retry-After") != std::string::npos);
+    }
+    SECTION("in chunks")
+    {
+        RawClient refused("POST /l HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                          "1388\r\n"
+                          + std::string(5'000, 'l') + "\r\n");
+        runUntil([&] { return refused.ended; });
+        CHECK(refused.received.starts_with("HTTP/1.1 503"));
+    }
+    CHECK(fixture.requests.size() == 1);
+    CHECK_FALSE(held.ended);
+    // Once the first request has been answered there is room again.
+    fixture.pendingResponders.at(0)->respond(HttpResponse{.body = "ok"});
+    runUntil([&] { return held.count("HTTP/1.1 200") == 1; });
+    RawClient next(small);
+    runUntil([&] { return fixture.requests.size() == 2; });
+}
+
+TEST_CASE("a caller that sends further requests without end is not read before its response")
+{
+    ServerFixture fixture;
+    fixture.delayResponses = true;
+    RawClient peer("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    runUntil([&] { return fixture.requests.size() == 1; });
+    const std::string next = "GET /b HTTP/1.1\r\nHost: h\r\n\r\n";
+    std::size_t sent = 0;
+    std::string flood;
+    while (flood.size() < 64 * 1024 * 1024)
+        flood += next;
+    const auto writeMore = [&] {
+        while (sent < flood.size()
+               && peer.socket.write(flood.data() + sent, flood.size() - sent, sent)
+                          == SocketResult::Progress) {
+        }
+    };
+    EpollLoop &loop = EpollLoop::instance();
+    const Timer pump(loop, loop.startPeriodic(milliseconds(1), writeMore));
+    bool over = false;
+    const Timer end(loop, loop.startOnce(milliseconds(500), [&] { over = true; }));
+    runUntil([&] { return over; });
+    // What it could send is what the two sockets hold, and a little.
+    CHECK(sent < 32 * 1024 * 1024);
+    fixture.delayResponses = false;
+    fixture.pendingResponders.at(0)->respond(HttpResponse{.body = "ok"});
+    runUntil([&] { return fixture.requests.size() > 100; });
+}
+
 TEST_CASE("the handler is notified when a caller disconnects before the response")
 {
     ServerFixture fixture;
--- a/modules/forwarding/forwarder.cpp
+++ b/modules/forwarding/forwarder.cpp
@@ -146,7 +146,8 @@
             .triedNodes = request.triedNodes,
             .ownDomainOnly =
                     triedOwnDomain
-                    && request.otherDomainAttempts >= m_options.otherDomainAttemptsAfterOwn};
+                    && request.otherDomainAttempts >= m_options.otherDomainAttemptsAfterOwn,
+            .ownNodeOnly = request.request.body.size() > m_options.maxBodyBytesOverLink};
 }
 
 std::optional<OwnerCandidate> Forwarder::chooseOwner(Request &request)
--- a/modules/forwarding/tests/test_forwarder.cpp
+++ b/modules/forwarding/tests/test_forwarder.cpp
@@ -300,6 +300,37 @@
     CHECK(bench.forwarder.openRequests() == 0);
 }
 
+// Guards against a frame that the other end refuses by closing the link, with all calls on it.
+TEST_CASE("a body that is too long for a link is only sent to the owner on the same VM")
+{
+    ForwarderBench bench;
+    const std::string body(8 * 1024 * 1024, 'b');
+    const auto sendLong = [&] {
+        const std::shared_ptr<CapturedAnswer> answer = std::make_shared<CapturedAnswer>();
+        bench.forwarder.forward({.method = "POST",
+                                 .target = "/write/1",
+                                 .headers = {{"Host", "h"}, {"Id", "r1"}},
+                                 .body = body},
+                                answer);
+        bench.timers.advance(milliseconds(20));
+        return answer;
+    };
+    SECTION("it has the service")
+    {
+        bench.local.answers = {done(200)};
+        CHECK(sendLong()->response->status == 200);
+    }
+    SECTION("it has not")
+    {
+        bench.local.state.service = "other";
+        const std::shared_ptr<CapturedAnswer> answer = sendLong();
+        REQUIRE(answer->response.has_value());
+        CHECK(answer->response->status == 503);
+        CHECK(bench.local.requests.empty());
+    }
+    CHECK(bench.remoteOwner.requests.empty());
+}
+
 TEST_CASE("callers that leave early: their work is cancelled at once")
 {
     ForwarderBench bench;
--- a/modules/owner/backend_owner.cpp
+++ b/modules/owner/backend_owner.cpp
@@ -363,6 +363,11 @@
         refuseNow(callback, workRequest, WorkRefusal::Suspected, std::chrono::milliseconds(0));
         return 0;
     }
+    const std::size_t bodyBytes = workRequest.request.body.size();
+    if (bodyBytes > m_options.maxHeldBodyBytes - m_heldBodyBytes) {
+        refuseNow(callback, workRequest, WorkRefusal::Overloaded, m_admission.meanServiceTime());
+        return 0;
+    }
     updateStartRate();
     const std::uint64_t id = ++m_lastWorkId;
     const SteadyTime deadline = now + std::max(workRequest.timeLeft - AnswerMargin, AnswerMargin);
@@ -383,6 +388,7 @@
                                               .refusal = WorkRefusal::Overloaded,
                                               .retryAfter = decision.expectedWait});
     }
+    m_heldBodyBytes += bodyBytes;
     m_work.emplace(id, Work{.request = workRequest,
                             .callback = std::move(callback),
                             .fingerprint = fingerprint,
@@ -401,8 +407,7 @@
     const auto found = m_work.find(id);
     if (found == m_work.end())
         return false;
-    const Work work = std::move(found->second);
-    m_work.erase(found);
+    const Work work = take(found);
     if (work.startedAt == SteadyTime()) {
         m_admission.withdraw(id);
         return true;
@@ -658,9 +663,15 @@
     const auto found = m_work.find(id);
     if (found == m_work.end())
         return;
-    const Callback callback = std::move(found->second.callback);
-    m_work.erase(found);
-    callback(result);
+    take(found).callback(result);
+}
+
+BackendOwner::Work BackendOwner::take(std::unordered_map<std::uint64_t, Work>::iterator work)
+{
+    Work taken = std::move(work->second);
+    m_heldBodyBytes -= taken.request.request.body.size();
+    m_work.erase(work);
+    return taken;
 }
 
 void BackendOwner::processQueue()
--- a/modules/owner/backend_owner.h
+++ b/modules/owner/backend_owner.h
@@ -73,6 +73,8 @@
     double coldProbeFraction = 0.6;
     std::chrono::milliseconds minColdProbeInterval{50};
     std::chrono::milliseconds queueCheckInterval{20}; ///< How often the queue is processed.
+    /** Bytes of the bodies of all queued and running requests; more are refused. */
+    std::size_t maxHeldBodyBytes = 12 * 1024 * 1024;
 };
 
 /** Receives events of the owner for the rest of the node. */
@@ -128,7 +130,8 @@
     ServicePolicy m_policy;
     std::unordered_map<std::uint64_t, Work> m_work;
     std::uint64_t m_lastWorkId = 0;
-    std::uint64_t m_lifetime = 0; ///< Counts the lifetimes of backend servers seen here.
+    std::size_t m_heldBodyBytes = 0; ///< Of the requests in m_work.
+    std::uint64_t m_lifetime = 0;    ///< Counts the lifetimes of backend servers seen here.
     std::map<std::string, ArmEvidence> m_evidence; ///< By route, of the current backend server.
     SteadyTime m_coldUntil;
     SteadyTime m_knownWarmAt;     ///< When it was last asked and was not cold.
@@ -151,6 +154,8 @@
     WorkRefusal refusalFor(const WorkRequest &workRequest) const;
     BackendAvailability availability() const;
     void finish(std::uint64_t id, const WorkResult &result);
+    /** Removes a request that is queued or runs. */
+    Work take(std::unordered_map<std::uint64_t, Work>::iterator work);
     void refuseNow(const Callback &callback, const WorkRequest &workRequest, WorkRefusal reason,
                    std::chrono::milliseconds retryAfter);
     void start(std::uint64_t id);
--- a/modules/owner/tests/test_backend_owner.cpp
+++ b/modules/owner/tests/test_backend_owner.cpp
@@ -480,6 +480,33 @@
     }
 }
 
+// Guards against an owner that runs out of memory because many nodes send it long requests.
+TEST_CASE("an owner refuses requests whose bodies it cannot hold")
+{
+    OwnerFixture fixture;
+    const auto runWithBody = [&fixture](std::size_t bytes) {
+        return fixture.owner.run(
+                WorkRequest{.request = {.method = "POST",
+                                        .target = "/x",
+                                        .headers = {{"Id", "1"}},
+                                        .body = std::string(bytes, 'b')},
+                            .route = "r",
+                            .service = "s",
+                            .timeLeft = milliseconds(1'000),
+                            .targetTimeLeft = milliseconds(400)},
+                [&fixture](const WorkResult &result) { fixture.results.push_back(result); });
+    };
+    constexpr std::size_t Megabyte = 1024 * 1024;
+    const std::uint64_t first = runWithBody(7 * Megabyte);
+    runWithBody(6 * Megabyte);
+    REQUIRE(fixture.results.size() == 1);
+    CHECK(fixture.results[0].verdict == Verdict::NotRun);
+    CHECK(fixture.results[0].refusal == WorkRefusal::Overloaded);
+    CHECK(runWithBody(1'000) != 0);
+    fixture.owner.cancel(first);
+    CHECK(runWithBody(6 * Megabyte) != 0);
+}
+
 TEST_CASE("slow version: requests cancelled after their target latency count as failures")
 {
     OwnerFixture fixture;
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -8,6 +8,7 @@
 
 #include <glib-unix.h>
 #include <sys/stat.h>
+#include <sys/sysinfo.h>
 
 #include "core/duration.h"
 #include "core/hash.h"
@@ -86,12 +87,29 @@
     return static_cast<std::uint32_t>(std::min(processor, link) * 10.0);
 }
 
+/** Returns a share of the VM's memory, up to a limit for VMs with much of it. */
+std::size_t memoryShare(std::size_t parts, std::size_t limit)
+{
+    struct sysinfo system = {};
+    if (sysinfo(&system) != 0 || system.totalram == 0)
+        return limit;
+    return std::min(limit, std::size_t(system.totalram) * system.mem_unit / parts);
+}
+
+/** Returns how many bytes of request bodies the node holds, for callers and as an owner each. */
+std::size_t maxHeldBodyBytes()
+{
+    // A body is copied up to eight times on its way.
+    return memoryShare(16, HttpServerOptions().maxHeldBodyBytes);
+}
+
 HttpServerOptions callerServerOptions(const MeshSettings &settings, const CallerLimits &limits)
 {
     const std::uint32_t maxConnections = std::max(
             64U, settings.maxFiles > ReservedDescriptors ? settings.maxFiles - ReservedDescriptors
                                                          : settings.maxFiles / 2);
     return HttpServerOptions{.maxBodyBytes = limits.maxBodyBytes,
+                             .maxHeldBodyBytes = maxHeldBodyBytes(),
                              .maxHeaderBytes = limits.maxHeaderBytes,
                              .headerTimeout = limits.headerTimeout,
                              .idleTimeout = limits.idleTimeout,
@@ -204,8 +222,10 @@
     , settingsTime(modificationTime(file))
     , randomSeed(combineHash(stableHash(settings.node), incarnation))
     , storeHttp(BeastHttpClientOptions{.localAddress = settings.links.address})
-    , backendHttp(BeastHttpClientOptions{.localAddress = settings.links.address,
-                                         .maxIdleConnectionsPerServer = 64})
+    , backendHttp(BeastHttpClientOptions{
+              .localAddress = settings.links.address,
+              .maxReceivedBytes = memoryShare(8, BeastHttpClientOptions().maxReceivedBytes),
+              .maxIdleConnectionsPerServer = 64})
     , storeClient(StoreClientOptions{.server = settings.store}, storeHttp)
     , transport(LinkTransportOptions{.listen = settings.links})
     , network(FleetNetworkOptions{.self = {.node = settings.node,
@@ -221,7 +241,8 @@
     , owner(BackendOwnerOptions{.node = settings.node,
                                 .service = settings.service,
                                 .headers = wire::headerNames(),
-                                .coldFactor = settings.coldFactor},
+                                .coldFactor = settings.coldFactor,
+                                .maxHeldBodyBytes = maxHeldBodyBytes()},
             backendHttp, timers, poison, *this)
     , callServer(workServerOptions(settings), network, timers, owner)
     , remoteCallClient(RemoteCallClientOptions{}, network, timers)
--- a/servers/http_server.h
+++ b/servers/http_server.h
@@ -28,6 +28,11 @@
 struct HttpServerOptions
 {
     std::size_t maxBodyBytes = 1024 * 1024;
+    /**
+     * Bytes of the bodies of all requests that are being read or have no response yet. A request
+     * beyond it is answered 503 before its body is read.
+     */
+    std::size_t maxHeldBodyBytes = 12 * 1024 * 1024;
     std::size_t maxHeaderBytes = 32 * 1024;
     /** Time limit for the head of a request. The body has none. */
     std::chrono::milliseconds headerTimeout{10'000};
