--- a/drivers/beast/beast_http_client.cpp
+++ b/drivers/beast/beast_http_client.cpp
@@ -107,6 +107,7 @@
     /** Returns false for a 1xx response and for one with another correlation value. */
     bool matchesRequest() const;
     void acceptResponse();
+    void endForLackOfTime();
     void fail(HttpFailure reason);
 };
 
@@ -350,6 +351,13 @@
     state.finish(state.find(callId), std::move(result), reusable);
 }
 
+void BeastHttpClient::Connection::endForLackOfTime()
+{
+    if (state.options.dropIdleAfterTimeout && reused && received == 0)
+        state.idle.erase(server);
+    fail(HttpFailure::TimedOut);
+}
+
 void BeastHttpClient::Connection::fail(HttpFailure reason)
 {
     state.finish(state.find(callId), failedResult(reason, written > 0), false);
@@ -390,8 +398,7 @@
     m_state->active.emplace(id, connection);
 
     EpollLoop &loop = EpollLoop::instance();
-    raw->timeout = Timer(
-            loop, loop.startOnce(options.timeout, [raw] { raw->fail(HttpFailure::TimedOut); }));
+    raw->timeout = Timer(loop, loop.startOnce(options.timeout, [raw] { raw->endForLackOfTime(); }));
     raw->reused = raw->connected;
     if (raw->connected) {
         raw->beginWrite();
--- a/drivers/beast/beast_http_client.h
+++ b/drivers/beast/beast_http_client.h
@@ -24,6 +24,12 @@
     std::size_t maxIdleConnectionsPerServer = 32;
     /** A connection that was idle for longer is not reused. */
     std::chrono::milliseconds maxIdleTime{15'000};
+    /**
+     * Whether a reused connection on which nothing is received until the timeout ends the idle
+     * connections to its server too: they may have gone silent with it, and each would cost another
+     * timeout.
+     */
+    bool dropIdleAfterTimeout = false;
     /** A connection that was idle for longer is not reused for a non-idempotent request. */
     std::chrono::milliseconds maxIdleTimeNonIdempotent{1'000};
 };
--- a/drivers/tests/test_http_clients.cpp
+++ b/drivers/tests/test_http_clients.cpp
@@ -26,6 +26,7 @@
         TcpSocket socket;
         std::string input;
         std::size_t pieceOffset = 0; ///< Bytes of the endless piece that were written.
+        std::size_t number = 0;      ///< Counts the connections, from 1.
     };
 
     std::vector<std::string> m_responses; ///< An empty one closes the connection instead.
@@ -39,6 +40,7 @@
         ScriptedServer *self = static_cast<ScriptedServer *>(data);
         const std::shared_ptr<Peer> peer = std::make_shared<Peer>();
         peer->socket.adopt(GObjectPointer<GSocket>(g_socket_accept(listener, nullptr, nullptr)));
+        peer->number = ++self->connections;
         self->m_peers.push_back(peer);
         peer->socket.waitReadable([self, raw = peer.get()] { self->read(raw); });
         return G_SOURCE_CONTINUE;
@@ -58,6 +60,8 @@
         peer->input.clear();
         const std::string response = requests < m_responses.size() ? m_responses[requests] : "";
         ++requests;
+        if (silentPeers > 0 && peer->number <= silentPeers)
+            return;
         std::size_t written = 0;
         if (!response.empty())
             peer->socket.write(response.data(), response.size(), written);
@@ -89,6 +93,8 @@
     std::size_t requests = 0;
     std::string endlessPiece; ///< Sent after each response until the client closes.
     bool closeAfterResponse = false;
+    std::size_t connections = 0; ///< Accepted so far.
+    std::size_t silentPeers = 0; ///< The first connections, on which nothing is answered any more.
 
     explicit ScriptedServer(std::vector<std::string> responses) : m_responses(std::move(responses))
     {
@@ -268,6 +274,27 @@
     CHECK(most - before <= NodeMemory / 2);
 }
 
+// Guards against changes that are read late because one connection to the store after the other has
+// to time out when all have gone silent.
+TEST_CASE("after a timeout the other idle connections to a server are not used")
+{
+    ScriptedServer server(std::vector<std::string>(8, okResponse));
+    BeastHttpClient client({.dropIdleAfterTimeout = true});
+    int answered = 0;
+    for (int i = 0; i < 3; ++i) {
+        client.send(HttpSendOptions{.server = server.endpoint()},
+                    HttpRequest{.method = "GET", .target = "/x"},
+                    [&answered](const HttpResult &) { ++answered; });
+    }
+    while (answered < 3)
+        g_main_context_iteration(nullptr, TRUE);
+    REQUIRE(server.connections == 3);
+    server.silentPeers = 3;
+    CHECK(exchange(client, server.endpoint(), "GET").failure == HttpFailure::TimedOut);
+    CHECK(exchange(client, server.endpoint(), "GET").verdict == Verdict::Done);
+    CHECK(server.connections == 4);
+}
+
 // Guards against a sound response that fails because others have used up the room for received
 // bytes.
 TEST_CASE("above the limit of received bytes the longest response ends, not the newest")
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -221,7 +221,8 @@
     , settingsFile(file)
     , settingsTime(modificationTime(file))
     , randomSeed(combineHash(stableHash(settings.node), incarnation))
-    , storeHttp(BeastHttpClientOptions{.localAddress = settings.links.address})
+    , storeHttp(BeastHttpClientOptions{.localAddress = settings.links.address,
+                                       .dropIdleAfterTimeout = true})
     , backendHttp(BeastHttpClientOptions{
               .localAddress = settings.links.address,
               .maxReceivedBytes = memoryShare(8, BeastHttpClientOptions().maxReceivedBytes),
