End the probe of a backend server that deregisters

A probe that was answered "cold" after its backend server had deregistered read a registration that was gone, which would have ended the node.

--- a/modules/owner/backend_owner.cpp
+++ b/modules/owner/backend_owner.cpp
@@ -123,6 +123,7 @@
 {
     if (m_registration.deregister(id, startedAt) != RegistrationOutcome::Accepted)
         return;
+    m_probe.cancel();
     logEvent(Event::BackendLeaving, {{"backend", id}, {"reason", reason}});
     refuseWaiting(WorkRefusal::Draining);
     m_observer.ownerStatusChanged();
--- a/modules/owner/tests/test_backend_owner.cpp
+++ b/modules/owner/tests/test_backend_owner.cpp
@@ -321,6 +321,19 @@
     }
 }
 
+// Guards against a node that ends because a probe is answered after its target has deregistered.
+TEST_CASE("a probe ends with the registration of its backend server")
+{
+    QuietOwner fixture;
+    fixture.loseRequest("lost");
+    REQUIRE(fixture.http.pendingExchanges.size() == 1);
+    fixture.owner.deregister("i-1", std::nullopt);
+    CHECK(fixture.http.pendingExchanges.empty());
+    REQUIRE(fixture.sendHeartbeat(false, 2).ok());
+    fixture.loseRequest("lost again");
+    CHECK(fixture.http.pendingExchanges.size() == 1);
+}
+
 TEST_CASE("a request that crashes a backend server twice under one id is refused")
 {
     QuietOwner fixture;
