Node: measure how late the event loop is

Logs could not tell a node that is late from one whose messages are lost: only the delay between a line and its flush hinted at it. LoopMonitor subscribes to the timer service and reports by how much its timer is late: event LoopDelayed (1012) above 300 ms, metrics loop_delay_ms, loop_delay_max_ms and loop_delays_total. No logic changes.

--- a/core/event.cpp
+++ b/core/event.cpp
@@ -14,6 +14,7 @@
             {Event::NodeNotServing, "NodeNotServing", EventLevel::Warning, false},
             {Event::SettingsRefused, "SettingsRefused", EventLevel::Error, false},
             {Event::SettingsReloaded, "SettingsReloaded", EventLevel::Info, false},
+            {Event::LoopDelayed, "LoopDelayed", EventLevel::Warning, true},
             {Event::ConfigInstalled, "ConfigInstalled", EventLevel::Info, false},
             {Event::RecordRejected, "RecordRejected", EventLevel::Warning, false},
             {Event::RecordMalformed, "RecordMalformed", EventLevel::Error, true},
--- a/core/event.h
+++ b/core/event.h
@@ -21,6 +21,7 @@
     NodeNotServing = 1005,
     SettingsRefused = 1010,
     SettingsReloaded = 1011,
+    LoopDelayed = 1012,
 
     ConfigInstalled = 2001,
     RecordRejected = 2002,
--- a/node/mesh_metrics.cpp
+++ b/node/mesh_metrics.cpp
@@ -41,6 +41,9 @@
     appendMetric("log_answer_age_ms", sources.follower.answerAge().count());
     appendMetric("peers_known", network.peers().size());
     appendMetric("peers_reachable", reachable);
+    appendMetric("loop_delay_ms", sources.loop.delay().count());
+    appendMetric("loop_delay_max_ms", sources.loop.maxDelay().count());
+    appendMetric("loop_delays_total", sources.loop.reportedDelays());
     appendMetric("caller_connections", sources.callerConnections);
     appendMetric("requests_open", sources.openRequests);
     appendMetric("calls_orphaned_total", sources.orphanedCalls);
--- a/node/mesh_metrics.h
+++ b/node/mesh_metrics.h
@@ -9,6 +9,7 @@
 #include "modules/feed/table_follower.h"
 #include "modules/fleet/fleet_network.h"
 #include "modules/forwarding/traffic_metrics.h"
+#include "node/loop_monitor.h"
 
 namespace jacinthshift {
 
@@ -19,6 +20,7 @@
     const FleetNetwork &network;
     const OperatorTable &table;
     const TableFollower &follower;
+    const LoopMonitor &loop;
     BackendStatus backend;
     std::uint64_t configVersion = 0;
     std::size_t callerConnections = 0;
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -22,6 +22,7 @@
 #include "modules/owner/backend_owner.h"
 #include "modules/owner/crash_exchange.h"
 #include "modules/rollout/rollout_controller.h"
+#include "node/loop_monitor.h"
 #include "node/mesh_metrics.h"
 #include "node/node_discovery.h"
 #include "platform/record_codec.h"
@@ -130,6 +131,7 @@
     std::uint64_t randomSeed;
     GMainLoop *loop = g_main_loop_new(nullptr, FALSE);
     EpollLoop &timers = EpollLoop::instance();
+    LoopMonitor loopMonitor;
     BeastHttpClient storeHttp;
     BeastHttpClient backendHttp;
     StoreClient storeClient;
@@ -221,6 +223,7 @@
     , settingsFile(file)
     , settingsTime(modificationTime(file))
     , randomSeed(combineHash(stableHash(settings.node), incarnation))
+    , loopMonitor(LoopMonitorOptions{}, timers)
     , storeHttp(BeastHttpClientOptions{.localAddress = settings.links.address,
                                        .dropIdleAfterTimeout = true})
     , backendHttp(BeastHttpClientOptions{
@@ -444,6 +447,7 @@
                             .network = network,
                             .table = table,
                             .follower = follower,
+                            .loop = loopMonitor,
                             .backend = owner.status(),
                             .configVersion = config.version,
                             .callerConnections = callerServer.connectionCount(),
