--- a/modules/fleet/tests/test_fleet_network.cpp
+++ b/modules/fleet/tests/test_fleet_network.cpp
@@ -79,6 +79,46 @@
 
 namespace {
 
+/** Bytes that nodes which join a failure domain at once send and receive, per link that they open.
+ */
+std::size_t bytesPerLinkToJoin(std::uint16_t fleetSize, std::uint16_t joiningCount)
+{
+    Fleet fleet(fleetSize);
+    std::vector<NodeContact> contacts;
+    for (const std::unique_ptr<FleetNode> &node : fleet.nodes)
+        contacts.push_back(node->network.self());
+    std::vector<std::unique_ptr<FleetNode>> joining;
+    for (std::uint16_t i = 0; i < joiningCount; ++i) {
+        joining.push_back(
+                std::make_unique<FleetNode>(fleet.hub, "a", static_cast<std::uint16_t>(500 + i)));
+        contacts.push_back(joining.back()->network.self());
+    }
+    for (const std::unique_ptr<FleetNode> &node : joining)
+        node->network.addContacts(contacts);
+    fleet.timers.advance(milliseconds(1'000));
+    const Endpoint first = joining.front()->network.self().linkEndpoint;
+    const std::size_t links = contacts.size() - 1;
+    REQUIRE(joining.front()->network.contacts().size() == links);
+    return (fleet.hub.sentBytes[first] + fleet.hub.receivedBytes[first]) / links;
+}
+
+} // namespace
+
+// Guards against nodes that are late for seconds after they have joined, and with them answers and
+// cancellations.
+TEST_CASE("mass join: the bytes on each new link do not grow with the failure domain", "[join]")
+{
+    const std::size_t small = bytesPerLinkToJoin(10, 1);
+    const std::size_t large = bytesPerLinkToJoin(60, 1);
+    CAPTURE(small, large);
+    CHECK(large <= small * 3 / 2);
+    const std::size_t many = bytesPerLinkToJoin(60, 30);
+    CAPTURE(many);
+    CHECK(many <= small * 3 / 2);
+}
+
+namespace {
+
 /** Records what other nodes say about the backend server of an earlier process. */
 struct LeftBackendObserver final : public FleetObserver
 {
--- a/modules/fleet/tests/test_remote_calls.cpp
+++ b/modules/fleet/tests/test_remote_calls.cpp
@@ -340,6 +340,61 @@
     CHECK(nodes.a.client.outstanding("b") == 0);
 }
 
+// Guards against work for a caller that left before a late owner read its call.
+TEST_CASE("a late owner does not start a call whose cancellation has arrived with it", "[gone]")
+{
+    TwoNodes nodes;
+    const std::uint64_t call = nodes.call();
+    nodes.a.client.cancel(call);
+    nodes.timers.advance(milliseconds(10));
+    CHECK(nodes.b.work.started == 0);
+}
+
+// Guards against work that goes on for a caller that was answered, or left, without a link.
+TEST_CASE("a call that its caller's node gave up is cancelled over the next link", "[gone]")
+{
+    TwoNodes nodes;
+    const std::map<Endpoint, FakeLinkTransport *> listeners = nodes.hub.listeners;
+    nodes.a.client.call("b", WorkRequest{.idempotent = true, .timeLeft = milliseconds(5'000)},
+                        [&](const WorkResult &received) { nodes.result = received; });
+    nodes.timers.advance(milliseconds(10));
+    REQUIRE(nodes.b.work.started == 1);
+    nodes.hub.listeners.clear();
+    SECTION("since the owner was silent")
+    {
+        nodes.a.transport.silenceOpenLinks();
+        nodes.timers.advance(milliseconds(900));
+        REQUIRE(nodes.result.has_value());
+    }
+    SECTION("since the link was lost")
+    {
+        nodes.a.transport.closeAll();
+        nodes.timers.advance(milliseconds(900));
+        REQUIRE(nodes.result.has_value());
+    }
+    nodes.hub.listeners = listeners;
+    nodes.timers.advance(milliseconds(2'500));
+    REQUIRE(nodes.a.network.isReachable(*nodes.a.network.peer("b")));
+    CHECK(nodes.b.work.cancelled == 1);
+}
+
+TEST_CASE("a call that is cancelled while there is no link is cancelled over the next one",
+          "[gone]")
+{
+    TwoNodes nodes;
+    const std::map<Endpoint, FakeLinkTransport *> listeners = nodes.hub.listeners;
+    const std::uint64_t call = nodes.call();
+    nodes.timers.advance(milliseconds(10));
+    nodes.hub.listeners.clear();
+    nodes.a.transport.closeAll();
+    nodes.timers.advance(milliseconds(10));
+    nodes.a.client.cancel(call);
+    nodes.hub.listeners = listeners;
+    nodes.timers.advance(milliseconds(2'500));
+    REQUIRE(nodes.a.network.isReachable(*nodes.a.network.peer("b")));
+    CHECK(nodes.b.work.cancelled == 1);
+}
+
 TEST_CASE("after loss of a failure domain an idempotent call fails in time for a retry elsewhere")
 {
     TwoNodes nodes;
--- a/node/loop_monitor.h
+++ b/node/loop_monitor.h
@@ -10,7 +10,7 @@
 
 struct LoopMonitorOptions
 {
-    std::chrono::milliseconds period{100};       ///< How often the lateness is measured.
+    std::chrono::milliseconds period{100};        ///< How often the lateness is measured.
     std::chrono::milliseconds reportedDelay{300}; ///< A greater lateness is logged and counted.
 };
 
--- a/node/tests/test_loop_monitor.cpp
+++ b/node/tests/test_loop_monitor.cpp
@@ -35,9 +35,9 @@
 TEST_CASE("A loop monitor measures by how much a timer fires late")
 {
     LateTimerService timers;
-    const LoopMonitor monitor(LoopMonitorOptions{.period = milliseconds(100),
-                                                 .reportedDelay = milliseconds(300)},
-                              timers);
+    const LoopMonitor monitor(
+            LoopMonitorOptions{.period = milliseconds(100), .reportedDelay = milliseconds(300)},
+            timers);
     timers.fireAfter(milliseconds(100));
     CHECK(monitor.delay() == milliseconds(0));
     timers.fireAfter(milliseconds(350));
--- a/tests/support/fake_link_hub.h
+++ b/tests/support/fake_link_hub.h
@@ -30,6 +30,7 @@
     std::vector<std::function<void()>> heldFrames; ///< Frames on silenced links.
     std::uint64_t lastLinkId = 0;
     std::map<Endpoint, std::size_t> sentBytes; ///< Bytes sent, by the sender's listening address.
+    std::map<Endpoint, std::size_t> receivedBytes; ///< By the receiver's listening address.
     /** Bytes per second that a transport sends on all its links together; others have no limit. */
     std::map<Endpoint, double> bandwidth;
     std::map<Endpoint, SteadyTime> sendingUntil; ///< When all frames sent so far have left.
@@ -113,6 +114,7 @@
             return false;
         const RemoteEnd peer = found->second;
         m_hub.sentBytes[m_listen] += frame.size();
+        m_hub.receivedBytes[peer.transport->m_listen] += frame.size();
         if (m_hub.silencedLinks.contains(link) || m_hub.silencedLinks.contains(peer.link)) {
             m_hub.heldFrames.push_back([peer, frame] {
                 if (peer.transport->m_links.contains(peer.link))
