Fleet: a link within a failure domain no longer begins with all contacts

Callers saw: answers later than their time limits, and work that began after they had left, while nodes joined or returned. Cause: each end of each new link within a failure domain sent its list of all contacts, so what a node reads to join grew with the square of the mesh (docs/CAPACITY.md named it as what breaks first).

Now a node asks for what it lacks: it sends hashes of the contacts that it knows to one peer of its failure domain at a time, while links open, until two in a row know nothing new. Peers that have just started are not asked by those that have not. The greeting carries the process's uptime for that; the protocol's number is 6.

The test now lets the domain run for 20 s first, as peers in their first 10 s ask one another; the case in which all start at once is added for that.

--- a/modules/fleet/fleet_network.cpp
+++ b/modules/fleet/fleet_network.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
+#include <unordered_set>
 
 #include "core/logger.h"
 #include "core/text.h"
@@ -30,6 +32,7 @@
     const absl::Status status = m_transport.start(*this);
     if (!status.ok())
         return status;
+    m_startedAt = m_timers.now();
     m_nextHeartbeat = m_timers.now() + heartbeatPeriod();
     m_tickTimer = Timer(m_timers, m_timers.startPeriodic(TickPeriod, [this] { tick(); }));
     return absl::OkStatus();
@@ -44,6 +47,11 @@
     return std::min(scaled, m_options.maxHeartbeatPeriod);
 }
 
+std::chrono::milliseconds FleetNetwork::uptime() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_timers.now() - m_startedAt);
+}
+
 std::chrono::milliseconds FleetNetwork::silenceTimeout() const
 {
     return heartbeatPeriod() * m_options.missedHeartbeatLimit;
@@ -114,16 +122,17 @@
     return found == m_peers.end() ? nullptr : &found->second;
 }
 
-void FleetNetwork::addContacts(const std::vector<NodeContact> &contacts)
+bool FleetNetwork::addContacts(const std::vector<NodeContact> &contacts)
 {
     bool changed = false;
     for (const NodeContact &contact : contacts)
         changed = updateContact(contact) || changed;
     if (!changed)
-        return;
+        return false;
     updateLinkPlan();
     for (auto &[node, peer] : m_peers)
         maintainLinks(peer);
+    return true;
 }
 
 void FleetNetwork::connectEndpoint(const Endpoint &linkEndpoint)
@@ -181,24 +190,74 @@
     }
     if (m_timers.now() >= m_nextHeartbeat)
         sendHeartbeats();
-    if (m_timers.now() >= m_nextContactsFetch)
-        fetchContacts();
+    fetchContacts();
 }
 
-/** Fetches contacts from a node in another failure domain if none in the own one is reachable. */
-void FleetNetwork::fetchContacts()
+std::string FleetNetwork::chooseContactsSource()
 {
-    m_nextContactsFetch = m_timers.now() + m_options.contactsFetchPeriod;
+    if (!m_unaskedPeers.empty()) {
+        const auto chosen =
+                std::next(m_unaskedPeers.begin(),
+                          static_cast<std::ptrdiff_t>(m_random.below(m_unaskedPeers.size())));
+        const std::string node = *chosen;
+        m_unaskedPeers.erase(chosen);
+        return node;
+    }
     std::vector<std::string> otherDomainNodes;
     for (const auto &[node, peer] : m_peers) {
         if (!isReachable(peer))
             continue;
         if (isInOwnDomain(peer))
-            return;
+            return {};
         otherDomainNodes.push_back(node);
     }
-    if (!otherDomainNodes.empty())
-        send(otherDomainNodes[m_random.below(otherDomainNodes.size())], ContactsFetchMessage());
+    return otherDomainNodes.empty() ? std::string()
+                                    : otherDomainNodes[m_random.below(otherDomainNodes.size())];
+}
+
+/**
+ * Fetches the contacts that this node lacks: from peers in its own failure domain, one at a time,
+ * after links to them have opened; from a node in another one if none in the own one is reachable.
+ */
+void FleetNetwork::fetchContacts()
+{
+    const std::chrono::milliseconds interval = m_unaskedPeers.empty()
+                                                       ? m_options.contactsFetchPeriod
+                                                       : m_options.minContactsFetchInterval;
+    const SteadyTime now = m_timers.now();
+    if (m_contactsFetchedAt != SteadyTime() && now - m_contactsFetchedAt < interval)
+        return;
+    const std::string source = chooseContactsSource();
+    if (source.empty())
+        return;
+    m_contactsFetchedAt = now;
+    ContactsFetchMessage fetch{.known = {contactHash(m_options.self)}};
+    for (const auto &[node, peer] : m_peers)
+        fetch.known.push_back(contactHash(peer.contact));
+    send(source, fetch);
+}
+
+ContactsMessage FleetNetwork::contactsUnknownTo(const ContactsFetchMessage &fetch) const
+{
+    const std::unordered_set<std::uint64_t> known(fetch.known.begin(), fetch.known.end());
+    ContactsMessage message{.contacts = contacts()};
+    std::erase_if(message.contacts, [&known](const NodeContact &contact) {
+        return known.contains(contactHash(contact));
+    });
+    return message;
+}
+
+void FleetNetwork::contactsReceived(const FleetPeer &source,
+                                    const std::vector<NodeContact> &contacts)
+{
+    const bool isOwnDomain = isInOwnDomain(source);
+    const bool areNew = addContacts(contacts);
+    if (!isOwnDomain)
+        return;
+    // Peers that have been linked for a while know the same, so a few of them are enough.
+    m_fetchesWithoutNews = areNew ? 0 : m_fetchesWithoutNews + 1;
+    if (m_fetchesWithoutNews >= m_options.maxFetchesWithoutNews)
+        m_unaskedPeers.clear();
 }
 
 void FleetNetwork::maintainLinks(FleetPeer &peer)
@@ -352,7 +411,8 @@
 void FleetNetwork::linkOpened(LinkId link, bool)
 {
     m_links.try_emplace(link);
-    m_transport.send(link, encodeFleetMessage(GreetingMessage{.self = m_options.self}));
+    m_transport.send(
+            link, encodeFleetMessage(GreetingMessage{.self = m_options.self, .uptime = uptime()}));
 }
 
 void FleetNetwork::frameReceived(LinkId link, const std::string &frame)
@@ -378,10 +438,10 @@
     peer.lastReceivedAt = m_timers.now();
     peer.probedAt = SteadyTime();
     peer.silent = false;
-    if (std::holds_alternative<ContactsFetchMessage>(*message))
-        send(node, ContactsMessage{.contacts = contacts()});
+    if (const ContactsFetchMessage *fetch = std::get_if<ContactsFetchMessage>(&*message))
+        send(node, contactsUnknownTo(*fetch));
     else if (const ContactsMessage *received = std::get_if<ContactsMessage>(&*message))
-        addContacts(received->contacts);
+        contactsReceived(peer, received->contacts);
     const ProbeMessage *probe = std::get_if<ProbeMessage>(&*message);
     if (probe != nullptr && !probe->reply)
         send(node, ProbeMessage{.reply = true});
@@ -476,10 +536,14 @@
     if (!peer.hasStatus && peer.leavingBackend)
         m_transport.send(link,
                          encodeFleetMessage(BackendLeftMessage{.backend = *peer.leavingBackend}));
-    // The contact list is long, so it is sent only within the failure domain. A node that has no
-    // peer in its own domain fetches it (see fetchContacts()).
-    if (isInOwnDomain(peer))
-        m_transport.send(link, encodeFleetMessage(ContactsMessage{.contacts = contacts()}));
+    // The contact list grows with the mesh, so it is not part of what each link begins with. A node
+    // that has just started knows no more than its peers.
+    const bool mayKnowMore =
+            greeting.uptime >= m_options.joinPeriod || uptime() < m_options.joinPeriod;
+    if (isInOwnDomain(peer) && mayKnowMore) {
+        m_unaskedPeers.insert(contact.node);
+        m_fetchesWithoutNews = 0;
+    }
     for (FleetObserver *observer : m_observers)
         observer->linksChanged(contact.node);
 }
--- a/modules/fleet/fleet_network.h
+++ b/modules/fleet/fleet_network.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -44,6 +45,12 @@
      * node in another one.
      */
     std::chrono::milliseconds contactsFetchPeriod{2'000};
+    /** How often it fetches contacts from peers of its own failure domain while links open. */
+    std::chrono::milliseconds minContactsFetchInterval{300};
+    /** How long after its start a node is still learning which others there are. */
+    std::chrono::milliseconds joinPeriod{10'000};
+    /** Fetches without a new contact after which the other new peers are not asked any more. */
+    std::uint32_t maxFetchesWithoutNews = 2;
     /** Peers that could not be reached for longer are removed. */
     std::chrono::milliseconds unreachableRetention{600'000};
     LinkPlanOptions linkPlan;
@@ -120,7 +127,11 @@
     // Indexed by message type; second index: 0 for the own failure domain, 1 for others.
     std::array<std::array<FrameCount, 2>, std::variant_size_v<FleetMessage>> m_sentFrames{};
     SteadyTime m_nextHeartbeat;
-    SteadyTime m_nextContactsFetch;
+    SteadyTime m_contactsFetchedAt;
+    SteadyTime m_startedAt;
+    /** Peers of the own failure domain whose link has opened and that may know more contacts. */
+    std::set<std::string> m_unaskedPeers;
+    std::uint32_t m_fetchesWithoutNews = 0;
     LinkPlan m_linkPlan;
     SteadyTime m_nextPlanUpdate;
     Timer m_tickTimer;
@@ -141,7 +152,12 @@
     void handleGreeting(LinkId link, const GreetingMessage &greeting);
     void updateStatus(FleetPeer &peer, const StatusMessage &status);
     std::chrono::milliseconds silenceTimeout() const;
+    std::chrono::milliseconds uptime() const;
     void fetchContacts();
+    /** Returns the peer to ask for contacts, or an empty name if there is no need to. */
+    std::string chooseContactsSource();
+    void contactsReceived(const FleetPeer &source, const std::vector<NodeContact> &contacts);
+    ContactsMessage contactsUnknownTo(const ContactsFetchMessage &fetch) const;
     /** Returns a peer that has a link, or nullptr. */
     FleetPeer *findLinkedPeer(const std::string &node);
     /** Counts a frame that is sent to a peer. */
@@ -157,8 +173,11 @@
     /** Starts the transport and the heartbeats. Fails with the error of the transport. */
     absl::Status start();
     void addObserver(FleetObserver &observer) { m_observers.push_back(&observer); }
-    /** Adds or updates peers. Contacts without a newer incarnation are ignored. */
-    void addContacts(const std::vector<NodeContact> &contacts);
+    /**
+     * Adds or updates peers. Contacts without a newer incarnation are ignored. Returns whether any
+     * was new.
+     */
+    bool addContacts(const std::vector<NodeContact> &contacts);
     /** Connects to a node of which only the address is known. */
     void connectEndpoint(const Endpoint &linkEndpoint);
 
--- a/modules/fleet/message_codec.cpp
+++ b/modules/fleet/message_codec.cpp
@@ -163,13 +163,14 @@
 
 json encode(const GreetingMessage &message)
 {
-    return {message.protocol, encodeContact(message.self)};
+    return {message.protocol, encodeContact(message.self), message.uptime.count()};
 }
 
 void decode(const json &source, GreetingMessage &message)
 {
     source.at(0).get_to(message.protocol);
     message.self = decodeContact(source.at(1));
+    message.uptime = std::chrono::milliseconds(source.at(2).get<std::int64_t>());
 }
 
 json encode(const StatusMessage &message)
@@ -428,12 +429,15 @@
     source.get_to(message.reply);
 }
 
-json encode(const ContactsFetchMessage &)
+json encode(const ContactsFetchMessage &message)
 {
-    return nullptr;
+    return message.known;
 }
 
-void decode(const json &, ContactsFetchMessage &) {}
+void decode(const json &source, ContactsFetchMessage &message)
+{
+    source.get_to(message.known);
+}
 
 json encode(const ContactsMessage &message)
 {
--- a/modules/fleet/messages.cpp
+++ b/modules/fleet/messages.cpp
@@ -2,8 +2,15 @@
 
 #include <array>
 
+#include "core/hash.h"
+
 namespace jacinthshift {
 
+std::uint64_t contactHash(const NodeContact &contact)
+{
+    return combineHash(stableHash(contact.node), contact.incarnation);
+}
+
 std::string_view refusalName(WorkRefusal refusal)
 {
     static constexpr std::array<std::string_view, 15> Names = {
--- a/modules/fleet/messages.h
+++ b/modules/fleet/messages.h
@@ -40,10 +40,11 @@
 struct GreetingMessage
 {
     /** Version of the protocol; a link between different versions is closed. */
-    static constexpr std::uint32_t Protocol = 5;
+    static constexpr std::uint32_t Protocol = 6;
 
     std::uint32_t protocol = Protocol;
     NodeContact self;
+    std::chrono::milliseconds uptime{0}; ///< Since the process started.
 };
 
 /** Whether a backend server accepts requests. */
@@ -264,12 +265,16 @@
     bool reply = false;
 };
 
-/** Requests the contacts that another node knows. */
+/** Requests the contacts that another node knows and the sender does not. */
 struct ContactsFetchMessage
 {
+    std::vector<std::uint64_t> known; ///< See contactHash().
 };
 
-/** Contacts of the nodes to which the sender has links. */
+/** Returns a hash that identifies a node's process, in place of its whole contact. */
+std::uint64_t contactHash(const NodeContact &contact);
+
+/** Contacts of nodes to which the sender has links or has not tried to open one. */
 struct ContactsMessage
 {
     std::vector<NodeContact> contacts;
--- a/modules/fleet/tests/test_fleet_network.cpp
+++ b/modules/fleet/tests/test_fleet_network.cpp
@@ -84,6 +84,7 @@
 std::size_t bytesPerLinkToJoin(std::uint16_t fleetSize, std::uint16_t joiningCount)
 {
     Fleet fleet(fleetSize);
+    fleet.timers.advance(milliseconds(20'000));
     std::vector<NodeContact> contacts;
     for (const std::unique_ptr<FleetNode> &node : fleet.nodes)
         contacts.push_back(node->network.self());
@@ -113,8 +114,10 @@
     CAPTURE(small, large);
     CHECK(large <= small * 3 / 2);
     const std::size_t many = bytesPerLinkToJoin(60, 30);
-    CAPTURE(many);
+    const std::size_t all = bytesPerLinkToJoin(1, 60);
+    CAPTURE(many, all);
     CHECK(many <= small * 3 / 2);
+    CHECK(all <= small * 3 / 2);
 }
 
 namespace {
