Fleet: cancellations reach their owner, and before the call if they can

Callers saw nothing; backend servers began or went on with work for callers that had left (GONE). Three causes of one class, an owner that does not learn in time that nobody waits: - An owner that is late reads a call and its cancellation in one go and started the first before it read the second. Calls now start once the input of the loop iteration has been read. - A call that its caller's node gave up, since the owner was silent or the link lost, was never cancelled there. It is, over the link that may only be slow. - A cancellation without a link was dropped. A node now says over each new link which calls it still waits for and the number of its last call; the owner ends the others, and starts none of them if it arrives late.

Two earlier tests delivered calls without running the loop; they now run it before they check, and check the same.

--- a/modules/fleet/call_server.cpp
+++ b/modules/fleet/call_server.cpp
@@ -1,5 +1,8 @@
 #include "modules/fleet/call_server.h"
 
+#include <algorithm>
+#include <set>
+
 #include "core/logger.h"
 
 namespace jacinthshift {
@@ -25,18 +28,35 @@
 void CallServer::messageReceived(const std::string &node, const FleetMessage &message)
 {
     if (const WorkCallMessage *call = std::get_if<WorkCallMessage>(&message))
-        startCall({.node = node, .process = call->callerProcess, .number = call->call}, call->work);
+        callArrived({.node = node, .process = call->callerProcess, .number = call->call},
+                    call->work);
     else if (const WorkCancelMessage *cancelled = std::get_if<WorkCancelMessage>(&message))
         cancel({.node = node, .process = cancelled->callerProcess, .number = cancelled->call});
     else if (const WorkResumeMessage *resumed = std::get_if<WorkResumeMessage>(&message))
         resume(node, *resumed);
 }
 
+void CallServer::callArrived(const CallKey &key, const WorkRequest &work)
+{
+    // A late node reads a call and its cancellation in one go, and must not start the call.
+    m_arrived.push_back({.key = key, .work = work});
+    if (!m_startTimer.isActive())
+        m_startTimer = Timer(m_timers, m_timers.startOnce(std::chrono::milliseconds(0),
+                                                          [this] { startArrivedCalls(); }));
+}
+
+void CallServer::startArrivedCalls()
+{
+    m_startTimer.stop();
+    for (const ArrivedCall &call : std::exchange(m_arrived, {}))
+        startCall(call.key, call.work);
+}
+
 void CallServer::startCall(const CallKey &key, const WorkRequest &work)
 {
     removeExpired();
     // A duplicate may arrive late over a link that the sender has abandoned.
-    if (m_running.contains(key) || m_ended.contains(key))
+    if (m_running.contains(key) || m_ended.contains(key) || isGivenUp(key))
         return;
     if (!reserveResponse(key, work))
         return;
@@ -130,6 +150,8 @@
 void CallServer::resume(const std::string &node, const WorkResumeMessage &message)
 {
     removeExpired();
+    startArrivedCalls();
+    endGivenUpCalls(node, message);
     for (const std::uint64_t call : message.calls) {
         const CallKey key{.node = node, .process = message.callerProcess, .number = call};
         if (m_running.contains(key))
@@ -138,6 +160,35 @@
     }
 }
 
+void CallServer::endGivenUpCalls(const std::string &node, const WorkResumeMessage &message)
+{
+    const std::set<std::uint64_t> wanted(message.calls.begin(), message.calls.end());
+    const CallKey first{.node = node, .process = message.callerProcess};
+    std::vector<CallKey> givenUp;
+    for (auto call = m_running.lower_bound(first); call != m_running.end(); ++call) {
+        const CallKey &key = call->first;
+        if (key.node != node || key.process != message.callerProcess
+            || key.number > message.lastCall)
+            break;
+        if (!wanted.contains(key.number))
+            givenUp.push_back(key);
+    }
+    for (const CallKey &key : givenUp)
+        cancel(key);
+    // A call that arrives late over an earlier link was given up or has been reported as not run.
+    CallKey &lastResumed = m_lastResumed[node];
+    lastResumed = std::max(
+            lastResumed,
+            CallKey{.node = node, .process = message.callerProcess, .number = message.lastCall});
+}
+
+bool CallServer::isGivenUp(const CallKey &key) const
+{
+    const auto resumed = m_lastResumed.find(key.node);
+    return resumed != m_lastResumed.end() && resumed->second.process == key.process
+           && key.number <= resumed->second.number;
+}
+
 WorkResult CallServer::resultOrFence(const CallKey &key)
 {
     const auto stored = m_results.find(key);
--- a/modules/fleet/call_server.h
+++ b/modules/fleet/call_server.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include "modules/fleet/call_key.h"
 #include "modules/fleet/fleet_network.h"
@@ -71,6 +72,12 @@
         SteadyTime startedAt;
         std::size_t reservedBytes = 0; ///< Of the response budget.
     };
+    /** A call that starts once all input that has arrived with it was read. */
+    struct ArrivedCall
+    {
+        CallKey key;
+        WorkRequest work;
+    };
     struct ExpiryEntry
     {
         CallKey key;
@@ -83,13 +90,19 @@
     WorkHandler &m_handler;
     PartSender m_parts;
     ResponseBudget m_budget;
+    std::vector<ArrivedCall> m_arrived;
+    Timer m_startTimer; ///< Active while calls are about to start.
     std::map<CallKey, RunningCall> m_running;
+    /** By node, the last call that its newest process had made when it requested results. */
+    std::map<std::string, CallKey> m_lastResumed;
     std::map<CallKey, WorkResult> m_results;
     std::deque<ExpiryEntry> m_resultExpiry;
     std::map<CallKey, CallEnd> m_ended;
     std::deque<ExpiryEntry> m_endedExpiry;
     std::uint64_t m_orphanedCalls = 0; ///< Calls that ended after their caller's process.
 
+    void callArrived(const CallKey &key, const WorkRequest &work);
+    void startArrivedCalls();
     void startCall(const CallKey &key, const WorkRequest &work);
     /** Returns whether the link has room for the call's response; refuses the call otherwise. */
     bool reserveResponse(const CallKey &key, const WorkRequest &work);
@@ -98,6 +111,9 @@
     bool isOrphaned(const CallKey &key) const;
     void resume(const std::string &node, const WorkResumeMessage &message);
     void cancel(const CallKey &key);
+    /** Cancels the calls of a process that its message does not request any more. */
+    void endGivenUpCalls(const std::string &node, const WorkResumeMessage &message);
+    bool isGivenUp(const CallKey &key) const;
     void recordEndedCall(const CallKey &key, CallEnd end);
     /**
      * Returns the stored result of a call that is not running, or MayHaveRun if it has ended and
--- a/modules/fleet/message_codec.cpp
+++ b/modules/fleet/message_codec.cpp
@@ -302,13 +302,14 @@
 
 json encode(const WorkResumeMessage &message)
 {
-    return {message.calls, message.callerProcess};
+    return {message.calls, message.callerProcess, message.lastCall};
 }
 
 void decode(const json &source, WorkResumeMessage &message)
 {
     source.at(0).get_to(message.calls);
     source.at(1).get_to(message.callerProcess);
+    source.at(2).get_to(message.lastCall);
 }
 
 json encode(const TableFetchMessage &message)
--- a/modules/fleet/messages.h
+++ b/modules/fleet/messages.h
@@ -187,11 +187,15 @@
     std::uint64_t call = 0;
 };
 
-/** Requests the results of calls that were sent over an earlier link. */
+/**
+ * Requests the results of calls that were sent over an earlier link. The caller no longer waits for
+ * any other call up to the last one.
+ */
 struct WorkResumeMessage
 {
     std::uint64_t callerProcess = 0;
     std::vector<std::uint64_t> calls; ///< Ids of the calls.
+    std::uint64_t lastCall = 0;       ///< Id of the caller's last call to any node.
 };
 
 /** Requests the records of the operator table from an offset on. */
--- a/modules/fleet/remote_call_client.cpp
+++ b/modules/fleet/remote_call_client.cpp
@@ -46,12 +46,16 @@
     const auto found = m_calls.find(call);
     if (found == m_calls.end())
         return;
-    m_network.send(found->second.node,
-                   WorkCancelMessage{.callerProcess = ownProcess(), .call = call});
+    sendCancel(found->second.node, call);
     --m_outstandingByNode[found->second.node];
     m_calls.erase(found);
 }
 
+void RemoteCallClient::sendCancel(const std::string &node, std::uint64_t call)
+{
+    m_network.send(node, WorkCancelMessage{.callerProcess = ownProcess(), .call = call});
+}
+
 std::uint32_t RemoteCallClient::outstanding(const std::string &node) const
 {
     const auto found = m_outstandingByNode.find(node);
@@ -76,8 +80,11 @@
         if (hasTimedOut(call))
             lost.push_back(id);
     }
-    for (const std::uint64_t id : lost)
+    for (const std::uint64_t id : lost) {
+        // The owner may only be late. Over a link that is lost, the next resume() ends the call.
+        sendCancel(m_calls.at(id).node, id);
         finish(id, lostResult(WorkRefusal::Lost));
+    }
 }
 
 bool RemoteCallClient::hasTimedOut(const Call &call)
@@ -95,14 +102,15 @@
 
 void RemoteCallClient::resume(const std::string &node)
 {
-    WorkResumeMessage message{.callerProcess = ownProcess()};
+    WorkResumeMessage message{.callerProcess = ownProcess(), .lastCall = m_lastCallId};
     for (auto &[id, call] : m_calls) {
         if (call.node != node)
             continue;
         message.calls.push_back(id);
         call.linkLostAt = SteadyTime();
     }
-    if (!message.calls.empty())
+    // Without open calls it still ends those that were given up while there was no link.
+    if (m_lastCallId > 0)
         m_network.send(node, message);
 }
 
--- a/modules/fleet/tests/test_remote_calls.cpp
+++ b/modules/fleet/tests/test_remote_calls.cpp
@@ -157,6 +157,7 @@
     nodes.timers.advance(milliseconds(10));
     const int started = nodes.b.work.started;
     nodes.hub.deliverHeldFrames();
+    nodes.timers.advance(milliseconds(10));
     CHECK(nodes.b.work.started == started);
 }
 
@@ -298,6 +299,7 @@
     RestartedCaller nodes;
     nodes.b.server.messageReceived("a", WorkCallMessage{.callerProcess = 1, .call = 5});
     nodes.b.server.messageReceived("a", WorkCallMessage{.callerProcess = 2, .call = 5});
+    nodes.timers.advance(milliseconds(0));
     CHECK(nodes.b.work.started == 3);
     nodes.b.server.messageReceived("a", WorkCancelMessage{.callerProcess = 1, .call = 5});
     CHECK(nodes.b.work.cancelled == 1);
