HTTP server: drop a request whose caller has already closed its connection

Cause: a node that is late reads a request whose connection the caller has closed meanwhile, passed it on and learned of the close only with its next read. The socket now watches for the peer's close beside its input, which costs no call, and a complete request of a closed caller is dropped and counted (requests_abandoned_total). Control, readiness and metrics keep serving clients that close their end early: a deregistration may be the last thing that a backend server sends.

--- a/drivers/beast/beast_http_server.cpp
+++ b/drivers/beast/beast_http_server.cpp
@@ -54,6 +54,7 @@
     Timer timeoutCheckTimer;
     std::size_t openRequests = 0;
     std::size_t heldBodyBytes = 0; ///< Of all requests that are being read or have no response.
+    std::uint64_t abandonedRequests = 0;
     bool keepAliveDisabled = false;
 
     void acceptConnection(int descriptor);
@@ -278,8 +279,14 @@
         if (error)
             return;
     }
-    if (parser->is_done())
-        dispatchRequest(serverState);
+    if (!parser->is_done())
+        return;
+    if (socket.hasPeerClosed() && !serverState->options.serveClosedCallers) {
+        ++serverState->abandonedRequests;
+        close();
+        return;
+    }
+    dispatchRequest(serverState);
 }
 
 void BeastHttpServer::Connection::dispatchRequest(const std::shared_ptr<State> &serverState)
@@ -430,6 +437,11 @@
     return m_state->connections.size();
 }
 
+std::uint64_t BeastHttpServer::abandonedRequests() const
+{
+    return m_state->abandonedRequests;
+}
+
 std::size_t BeastHttpServer::openRequests() const
 {
     return m_state->openRequests;
--- a/drivers/beast/beast_http_server.h
+++ b/drivers/beast/beast_http_server.h
@@ -1,6 +1,7 @@
 #ifndef DRIVERS_BEAST_BEAST_HTTP_SERVER_H
 #define DRIVERS_BEAST_BEAST_HTTP_SERVER_H
 
+#include <cstdint>
 #include <memory>
 
 #include "servers/http_server.h"
@@ -29,6 +30,8 @@
     /** Closes each connection after its next response. */
     void disableKeepAlive();
     std::size_t connectionCount() const;
+    /** Returns the number of requests that were dropped as their callers had closed before. */
+    std::uint64_t abandonedRequests() const;
     /** Returns the number of requests that were read and await a response. */
     std::size_t openRequests() const;
 };
--- a/drivers/tcp/tcp_socket.cpp
+++ b/drivers/tcp/tcp_socket.cpp
@@ -94,6 +94,7 @@
     if (m_watchedEvents != 0)
         EpollLoop::instance().unwatch(m_descriptor, *this);
     m_watchedEvents = 0;
+    m_peerClosed = false;
     m_readyCallback = nullptr;
     if (m_gSocket == nullptr)
         ::close(m_descriptor);
@@ -139,7 +140,7 @@
 
 void TcpSocket::waitReadable(std::function<void()> ready)
 {
-    wait(EPOLLIN, std::move(ready));
+    wait(EPOLLIN | EPOLLRDHUP, std::move(ready));
 }
 
 void TcpSocket::waitWritable(std::function<void()> ready)
@@ -149,11 +150,13 @@
 
 void TcpSocket::waitFor(bool alsoWritable, std::function<void()> ready)
 {
-    wait(alsoWritable ? EPOLLIN | EPOLLOUT : EPOLLIN, std::move(ready));
+    const std::uint32_t input = EPOLLIN | EPOLLRDHUP;
+    wait(alsoWritable ? input | EPOLLOUT : input, std::move(ready));
 }
 
-void TcpSocket::descriptorReady(std::uint32_t)
+void TcpSocket::descriptorReady(std::uint32_t events)
 {
+    m_peerClosed = (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
     if (m_readyCallback == nullptr) {
         EpollLoop::instance().unwatch(m_descriptor, *this);
         m_watchedEvents = 0;
--- a/drivers/tcp/tcp_socket.h
+++ b/drivers/tcp/tcp_socket.h
@@ -28,6 +28,7 @@
     int m_descriptor = -1;
     GObjectPointer<GSocket> m_gSocket; ///< Set when the descriptor belongs to a GSocket.
     std::uint32_t m_watchedEvents = 0;
+    bool m_peerClosed = false; ///< According to the last event.
     std::function<void()> m_readyCallback;
 
     void wait(std::uint32_t events, std::function<void()> ready);
@@ -66,6 +67,11 @@
     /** Removes the callback. The descriptor stays watched until its next event. */
     void stopWaiting() { m_readyCallback = nullptr; }
 
+    /**
+     * Returns whether the peer had closed its end at the last event of a wait for input, although
+     * there may be more to read.
+     */
+    bool hasPeerClosed() const { return m_peerClosed; }
     /** Returns whether there is nothing to read; input on an idle connection means its end. */
     bool hasNoPendingInput() const;
     /** Returns the IPv4 address of the peer, or an empty string. */
--- a/node/mesh_metrics.cpp
+++ b/node/mesh_metrics.cpp
@@ -45,6 +45,7 @@
     appendMetric("loop_delay_max_ms", sources.loop.maxDelay().count());
     appendMetric("loop_delays_total", sources.loop.reportedDelays());
     appendMetric("caller_connections", sources.callerConnections);
+    appendMetric("requests_abandoned_total", sources.abandonedRequests);
     appendMetric("requests_open", sources.openRequests);
     appendMetric("calls_orphaned_total", sources.orphanedCalls);
     appendMetric("crash_suspects", sources.crashSuspects);
--- a/node/mesh_metrics.h
+++ b/node/mesh_metrics.h
@@ -24,6 +24,7 @@
     BackendStatus backend;
     std::uint64_t configVersion = 0;
     std::size_t callerConnections = 0;
+    std::uint64_t abandonedRequests = 0;
     std::size_t openRequests = 0;
     std::uint64_t orphanedCalls = 0;
     std::size_t crashSuspects = 0;
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -263,9 +263,9 @@
                 network, timers, table, follower)
     , discovery(NodeDiscoveryOptions{}, storeClient, network, timers)
     , callerServer(callerServerOptions(settings, CallerLimits()))
-    , readinessServer(HttpServerOptions{})
-    , controlServer(HttpServerOptions{})
-    , metricsServer(HttpServerOptions{})
+    , readinessServer(HttpServerOptions{.serveClosedCallers = true})
+    , controlServer(HttpServerOptions{.serveClosedCallers = true})
+    , metricsServer(HttpServerOptions{.serveClosedCallers = true})
 {
     network.addObserver(*this);
     table.setListener([this](const KeyedRecord &record) { handleOperatorRecord(record); });
@@ -451,6 +451,7 @@
                             .backend = owner.status(),
                             .configVersion = config.version,
                             .callerConnections = callerServer.connectionCount(),
+                            .abandonedRequests = callerServer.abandonedRequests(),
                             .openRequests = forwarder.openRequests(),
                             .orphanedCalls = callServer.orphanedCalls(),
                             .crashSuspects = poison.size(),
--- a/servers/http_server.h
+++ b/servers/http_server.h
@@ -40,6 +40,11 @@
     std::size_t maxConnections = 10'000; ///< New connections above this number are closed.
     /** With this many connections or more, each response closes its connection. */
     std::size_t maxKeepAliveConnections = 8'000;
+    /**
+     * Whether a request is passed to the handler although its caller had closed its end of the
+     * connection before the request was read. A caller that waits for a response does not.
+     */
+    bool serveClosedCallers = false;
 };
 
 /** Accepts HTTP requests and passes each one to the handler once its whole body has been read. */
