Forwarder: time limits count from when a request may have arrived

Callers saw: answers later than their route's time limit and half a second (CONFIG). Cause: the limit counted from when the node read a request, so on a late node the time that it waited unread came on top. The loop now knows how long what it handles may have waited: for as long as the iteration before took, and nothing if it was waiting for input. The HTTP server passes this on with the request, and the forwarder subtracts it from the time limit and the target latency. A request without time left is refused at once as not run.

--- a/drivers/beast/beast_http_server.cpp
+++ b/drivers/beast/beast_http_server.cpp
@@ -85,6 +85,8 @@
     bool closed = false;
     bool lingering = false;        ///< Refused; the rest of its request is read and dropped.
     std::size_t heldBodyBytes = 0; ///< What the current request takes of maxHeldBodyBytes.
+    std::chrono::milliseconds acceptDelay{0}; ///< How long it may have waited to be accepted.
+    std::chrono::milliseconds readDelay{0};   ///< How long the current request has waited.
     SteadyTime timeoutStart; ///< When the connection became idle or the first header byte arrived.
 
     void start();
@@ -96,6 +98,8 @@
     void releaseBody(State &serverState);
     /** Passes the parsed request to the handler. */
     void dispatchRequest(const std::shared_ptr<State> &serverState);
+    /** Returns how long the current request may have waited before its first byte was read. */
+    std::chrono::milliseconds inputDelay();
     /** Responds to invalid or late input with an error status and closes the connection. */
     void respondWithError(int status);
     void respond(std::uint64_t number, const HttpResponse &response);
@@ -192,6 +196,7 @@
 void BeastHttpServer::Connection::start()
 {
     timeoutStart = EpollLoop::instance().now();
+    acceptDelay = EpollLoop::instance().inputDelay();
     if (const std::shared_ptr<State> serverState = state.lock())
         resetParser(*serverState);
     waitForSocket();
@@ -263,8 +268,10 @@
     if (serverState == nullptr)
         return;
     while (!input.empty() && !parser->is_done()) {
-        if (!parser->got_some())
+        if (!parser->got_some()) {
             timeoutStart = EpollLoop::instance().now();
+            readDelay = inputDelay();
+        }
         boost::beast::error_code error;
         const std::size_t used = parser->put(boost::asio::buffer(input), error);
         input.erase(0, used);
@@ -289,6 +296,15 @@
     dispatchRequest(serverState);
 }
 
+std::chrono::milliseconds BeastHttpServer::Connection::inputDelay()
+{
+    const std::chrono::milliseconds delay = EpollLoop::instance().inputDelay();
+    // A first request that the loop was waiting for came after its connection.
+    const std::chrono::milliseconds accepting =
+            std::exchange(acceptDelay, std::chrono::milliseconds(0));
+    return delay.count() > 0 ? delay + accepting : delay;
+}
+
 void BeastHttpServer::Connection::dispatchRequest(const std::shared_ptr<State> &serverState)
 {
     keepAlive = parser->keep_alive();
@@ -301,6 +317,7 @@
                                               .value = std::string(field.value())});
     }
     received.body = std::move(message.body());
+    received.waited = readDelay;
     resetParser(*serverState);
     awaitingResponse = true;
     ++serverState->openRequests;
--- a/drivers/epoll/epoll_loop.cpp
+++ b/drivers/epoll/epoll_loop.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <utility>
 
 #include <sys/epoll.h>
 #include <unistd.h>
@@ -13,6 +14,8 @@
 
 constexpr int MaxEventsPerPoll = 128;
 constexpr std::chrono::milliseconds MaxPollTimeout{60'000};
+/** After a shorter wait the events were ready before it. */
+constexpr std::chrono::milliseconds MinWait{1};
 
 } // namespace
 
@@ -31,7 +34,9 @@
 }
 
 EpollLoop::EpollLoop()
-    : m_epollDescriptor(epoll_create1(EPOLL_CLOEXEC)), m_now(std::chrono::steady_clock::now())
+    : m_epollDescriptor(epoll_create1(EPOLL_CLOEXEC))
+    , m_now(std::chrono::steady_clock::now())
+    , m_collectedAt(m_now)
 {
     static GSourceFuncs functions = {prepare, check, dispatch, nullptr, nullptr, nullptr};
     GSource *source = g_source_new(&functions, sizeof(LoopSource));
@@ -106,9 +111,12 @@
 int EpollLoop::collectEvents(int timeout)
 {
     std::array<epoll_event, MaxEventsPerPoll> events;
+    const SteadyTime waitStart = std::chrono::steady_clock::now();
     const int count = epoll_wait(m_epollDescriptor, events.data(), MaxEventsPerPoll, timeout);
     if (count < 0)
         return count;
+    updateInputDelay(waitStart);
+    m_hasMoreEvents = count == MaxEventsPerPoll;
     for (int i = 0; i < count; ++i) {
         m_pendingEvents.push_back(PendingEvent{static_cast<DescriptorHandler *>(events[i].data.ptr),
                                                events[i].events});
@@ -116,6 +124,16 @@
     return count;
 }
 
+void EpollLoop::updateInputDelay(SteadyTime waitStart)
+{
+    const SteadyTime now = std::chrono::steady_clock::now();
+    const SteadyTime::duration busy = waitStart - std::exchange(m_collectedAt, now);
+    const bool hasWaited = now - waitStart >= MinWait;
+    const auto delay = std::chrono::duration_cast<std::chrono::milliseconds>(
+            hasWaited ? SteadyTime::duration(0) : busy);
+    m_inputDelay = m_hasMoreEvents ? m_inputDelay + delay : delay;
+}
+
 int EpollLoop::pollTimeoutMilliseconds()
 {
     if (!m_deferredCallbacks.empty())
--- a/drivers/epoll/epoll_loop.h
+++ b/drivers/epoll/epoll_loop.h
@@ -57,6 +57,9 @@
     std::vector<Callback> m_deferredCallbacks;
     std::uint64_t m_lastTimerId = 0;
     SteadyTime m_now;
+    SteadyTime m_collectedAt; ///< When the last events were collected.
+    std::chrono::milliseconds m_inputDelay{0};
+    bool m_hasMoreEvents = false; ///< More descriptors may have been ready than were collected.
     bool m_dispatching = false;
 
     EpollLoop();
@@ -73,6 +76,8 @@
      * The timeout is in milliseconds; -1 means none.
      */
     int collectEvents(int timeout);
+    /** Computes m_inputDelay from when the loop began to wait for the events just collected. */
+    void updateInputDelay(SteadyTime waitStart);
     /** Returns the time to the next timer, 0 if callbacks are due now, or -1 without timers. */
     int pollTimeoutMilliseconds();
     TimerId start(std::chrono::milliseconds delay, std::chrono::milliseconds period,
@@ -106,6 +111,11 @@
     {
         return m_dispatching ? m_now : std::chrono::steady_clock::now();
     }
+    /**
+     * Returns how long the input that is handled now may have waited for the loop; zero if the loop
+     * was waiting for it.
+     */
+    std::chrono::milliseconds inputDelay() const { return m_inputDelay; }
     WallTime wallNow() const override;
     TimerId startOnce(std::chrono::milliseconds delay, Callback callback) override;
     TimerId startPeriodic(std::chrono::milliseconds period, Callback callback) override;
--- a/modules/forwarding/forwarder.cpp
+++ b/modules/forwarding/forwarder.cpp
@@ -56,7 +56,7 @@
     incoming->responder = std::move(responder);
     incoming->requestId =
             std::string(findHeader(incoming->request.headers, m_options.headers.requestId));
-    incoming->arrivedAt = m_timers.now();
+    incoming->arrivedAt = m_timers.now() - incoming->request.waited;
     if (!admit(incoming))
         return;
     m_requests.emplace(incoming->id, incoming);
@@ -72,7 +72,10 @@
                                                    if (const RequestPointer active = weak.lock())
                                                        endForLackOfTime(active);
                                                }));
-    tryNextOwner(incoming);
+    if (incoming->deadline <= m_timers.now())
+        endForLackOfTime(incoming);
+    else
+        tryNextOwner(incoming);
 }
 
 bool Forwarder::admit(const RequestPointer &request)
@@ -348,7 +351,8 @@
     const bool anyOwnerAsked = request->ownerAttempts > 0;
     if (request->ownerAttempts < m_options.maxOwnerAttempts)
         request->excludedOwners = m_owners.describeExcludedOwners(ownerQuery(*request));
-    const std::string_view reason = anyOwnerAsked ? refusalName(request->lastRefusal) : "no-owner";
+    const bool hasReason = anyOwnerAsked || request->lastRefusal != WorkRefusal::None;
+    const std::string_view reason = hasReason ? refusalName(request->lastRefusal) : "no-owner";
     const std::chrono::milliseconds retryAfter =
             request->retryHint.count() > 0 ? request->retryHint : m_options.retryAfterWithoutOwner;
     answer(request, refusal(StatusUnavailable, request->requestId, retryAfter, reason), reason);
--- a/servers/http_message.h
+++ b/servers/http_message.h
@@ -1,6 +1,7 @@
 #ifndef SERVERS_HTTP_MESSAGE_H
 #define SERVERS_HTTP_MESSAGE_H
 
+#include <chrono>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -20,6 +21,8 @@
     std::string target = "/"; ///< The path and the query.
     std::vector<HttpHeader> headers;
     std::string body;
+    /** How long it may have waited before a server read it. Not a part of the message. */
+    std::chrono::milliseconds waited{0};
 };
 
 /** A complete HTTP response. */
