--- a/modules/fleet/fleet_network.cpp
+++ b/modules/fleet/fleet_network.cpp
@@ -199,9 +199,7 @@
         const auto chosen =
                 std::next(m_unaskedPeers.begin(),
                           static_cast<std::ptrdiff_t>(m_random.below(m_unaskedPeers.size())));
-        const std::string node = *chosen;
-        m_unaskedPeers.erase(chosen);
-        return node;
+        return m_unaskedPeers.extract(chosen).value();
     }
     std::vector<std::string> otherDomainNodes;
     for (const auto &[node, peer] : m_peers) {
--- a/modules/forwarding/tests/test_late_loop.cpp
+++ b/modules/forwarding/tests/test_late_loop.cpp
@@ -90,6 +90,12 @@
         REQUIRE(caller.write(RequestBytes.data(), RequestBytes.size(), written)
                 == SocketResult::Progress);
     }
+    template <typename Condition>
+    static void runUntil(const Condition &condition)
+    {
+        while (!condition())
+            g_main_context_iteration(nullptr, TRUE);
+    }
     /** Runs a callback in the loop that takes a time, during which something happens outside. */
     template <typename Action>
     void runLate(milliseconds time, const Action &outside)
@@ -100,15 +106,13 @@
             std::this_thread::sleep_for(time);
             over = true;
         }));
-        while (!over)
-            g_main_context_iteration(nullptr, TRUE);
+        runUntil([&] { return over; });
     }
     void run(milliseconds time)
     {
         bool over = false;
         const Timer end(loop, loop.startOnce(time, [&] { over = true; }));
-        while (!over)
-            g_main_context_iteration(nullptr, TRUE);
+        runUntil([&] { return over; });
     }
 };
 
@@ -138,8 +142,7 @@
     });
     bool answered = false;
     node.caller.waitReadable([&] { answered = true; });
-    while (!answered)
-        g_main_context_iteration(nullptr, TRUE);
+    LateNode::runUntil([&] { return answered; });
     const auto taken =
             std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - sentAt);
     node.caller.close();
@@ -156,8 +159,7 @@
     node.send();
     bool answered = false;
     node.caller.waitReadable([&] { answered = true; });
-    while (!answered)
-        g_main_context_iteration(nullptr, TRUE);
+    LateNode::runUntil([&] { return answered; });
     const auto taken =
             std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - sentAt);
     node.caller.close();
