Fleet: a call that has ended meanwhile is not given up

The callback of one lost call could end another one of the list; the lookup added with the cancellation would then have thrown.

--- a/modules/fleet/remote_call_client.cpp
+++ b/modules/fleet/remote_call_client.cpp
@@ -80,11 +80,18 @@
         if (hasTimedOut(call))
             lost.push_back(id);
     }
-    for (const std::uint64_t id : lost) {
-        // The owner may only be late. Over a link that is lost, the next resume() ends the call.
-        sendCancel(m_calls.at(id).node, id);
-        finish(id, lostResult(WorkRefusal::Lost));
-    }
+    for (const std::uint64_t id : lost)
+        giveUp(id);
+}
+
+void RemoteCallClient::giveUp(std::uint64_t call)
+{
+    const auto found = m_calls.find(call);
+    if (found == m_calls.end())
+        return;
+    // The owner may only be late. Over a link that is lost, the next resume() ends the call.
+    sendCancel(found->second.node, call);
+    finish(call, lostResult(WorkRefusal::Lost));
 }
 
 bool RemoteCallClient::hasTimedOut(const Call &call)
--- a/modules/fleet/remote_call_client.h
+++ b/modules/fleet/remote_call_client.h
@@ -56,6 +56,8 @@
     /** Returns whether a call must fail. Probes its node if that has sent nothing lately. */
     bool hasTimedOut(const Call &call);
     void sendCancel(const std::string &node, std::uint64_t call);
+    /** Fails a call that its owner does not answer, and cancels it there. */
+    void giveUp(std::uint64_t call);
     void finish(std::uint64_t call, const WorkResult &result);
     std::uint64_t ownProcess() const;
     /** Returns a call of this process to a node that waits for its result, or nullptr. */
