Settings: an empty value counts as missing

Cause: a deployment without one of the operator's bounds renders an empty value, and every node ended with 'cold_factor must be a number of at least 0'.

--- a/modules/yaml/yaml_section.cpp
+++ b/modules/yaml/yaml_section.cpp
@@ -67,7 +67,9 @@
     m_requestedKeys.insert(key);
     if (!m_node.IsDefined() || !m_node.IsMap())
         return YAML::Node(YAML::NodeType::Undefined);
-    return m_node[key];
+    const YAML::Node node = m_node[key];
+    // A template renders an empty value where the deployment lacks the field.
+    return node.IsDefined() && node.IsNull() ? YAML::Node(YAML::NodeType::Undefined) : node;
 }
 
 YAML::Node YamlSection::require(const std::string &key)
@@ -180,7 +182,7 @@
 {
     const YAML::Node node = find(key);
     std::vector<std::string> values;
-    if (!node.IsDefined() || node.IsNull())
+    if (!node.IsDefined())
         return values;
     if (!node.IsSequence()) {
         addProblem(key, joinText(key, " must be a list such as [a, b]"));
--- a/modules/yaml/yaml_section.h
+++ b/modules/yaml/yaml_section.h
@@ -31,8 +31,8 @@
  * Reads one mapping of a YAML file and collects all problems in it.
  *
  * After a problem, the reading functions return a placeholder, so that one pass finds all problems;
- * it must not be used. Functions without a fallback parameter report a missing key, except
- * stringList().
+ * it must not be used. A key without a value counts as missing. Functions without a fallback
+ * parameter report a missing key, except stringList().
  */
 class YamlSection
 {
