Era of store pages, workspace of a request

Cause: several parts are built at the same time and need these fields. Result: no behaviour changes; the era is not used yet.

--- a/modules/fleet/message_codec.cpp
+++ b/modules/fleet/message_codec.cpp
@@ -206,7 +206,8 @@
             work.timeLeft.count(),
             work.targetTimeLeft.count(),
             work.version,
-            message.callerProcess};
+            message.callerProcess,
+            work.workspace};
 }
 
 void decode(const json &source, WorkCallMessage &message)
@@ -228,6 +229,7 @@
     work.targetTimeLeft = decodeMilliseconds(source.at(13));
     source.at(14).get_to(work.version);
     source.at(15).get_to(message.callerProcess);
+    source.at(16).get_to(work.workspace);
 }
 
 json encode(const WorkResultMessage &message)
--- a/modules/fleet/messages.h
+++ b/modules/fleet/messages.h
@@ -40,7 +40,7 @@
 struct GreetingMessage
 {
     /** Version of the protocol; a link between different versions is closed. */
-    static constexpr std::uint32_t Protocol = 6;
+    static constexpr std::uint32_t Protocol = 7;
 
     std::uint32_t protocol = Protocol;
     NodeContact self;
@@ -100,6 +100,7 @@
     std::string service;
     std::string version; ///< Version chosen by the sender during a rollout; else empty.
     std::string callerService;
+    std::string workspace;      ///< Name of the customer; empty where none are configured.
     std::uint32_t priority = 0; ///< 0 is the most urgent.
     bool idempotent = false;
     bool isCallerRetry = false;            ///< The caller is retrying the request.
--- a/servers/keyed_log.h
+++ b/servers/keyed_log.h
@@ -29,6 +29,11 @@
     std::vector<KeyedRecord> records;
     /** Where the next readFrom() continues: after the last record read, or the table's end. */
     std::uint64_t endOffset = 0;
+    /**
+     * Counts how often the log was restored from an older copy. Offsets start to be reused then, so
+     * those of different eras cannot be compared.
+     */
+    std::uint64_t era = 0;
     /** The page holds every key of the table, so keys that it lacks were removed. */
     bool isWholeTable = false;
 };
