Operator table: positions have an era, restores of the store are followed

Cause: nodes order records of the store by offset. A store that comes back from an older copy gives offsets out again, so nodes would ignore new records, wait for offsets beyond the end, and lose contacts and the outcomes of rollouts. The new tests use interfaces that did not exist before, so they were not run on the old code.

--- a/core/event.h
+++ b/core/event.h
@@ -39,6 +39,7 @@
     LogRegained = 2014,
     OperatorRecordIgnored = 2015,
     TrafficConfigInForce = 2016,
+    LogRestored = 2017,
 
     ReleaseStarted = 3001,
     ReleaseStepProposed = 3002,
--- a/modules/feed/table_follower.cpp
+++ b/modules/feed/table_follower.cpp
@@ -28,7 +28,7 @@
     ++m_currentRead;
     if (!active)
         return;
-    m_needsWholeTable = m_table.end() == 0;
+    m_needsWholeTable = m_table.position() == TablePosition();
     read();
 }
 
@@ -73,11 +73,15 @@
 void TableFollower::readFinished(std::uint64_t readNumber, const absl::StatusOr<KeyedPage> &page,
                                  bool isWholeTable)
 {
-    if (page.ok()) {
-        if (isWholeTable)
-            m_table.replace(*page);
+    const bool hasTable = m_hasRead || m_table.position() != TablePosition();
+    const bool isRestored = page.ok() && hasTable && page->era > m_table.position().era;
+    if (page.ok() && isWholeTable) {
+        if (isRestored)
+            m_table.restore(*page);
         else
-            m_table.merge(*page);
+            m_table.replace(*page);
+    } else if (page.ok() && !isRestored && page->era == m_table.position().era) {
+        m_table.merge(*page);
     }
     if (readNumber != m_currentRead)
         return;
@@ -89,7 +93,12 @@
     m_answeredAt = m_timers.now();
     m_retryDelay = m_options.initialRetryDelay;
     m_answerTimeout = m_options.answerTimeout;
-    m_needsWholeTable = false;
+    // Offsets of the era before mean nothing in a restored log.
+    m_needsWholeTable = isRestored && !isWholeTable;
+    if (m_needsWholeTable) {
+        readAfter(std::chrono::milliseconds(0));
+        return;
+    }
     const bool isFirstRead = !std::exchange(m_hasRead, true);
     readAfter(isFirstRead ? m_options.firstReadPause : m_options.readPause);
 }
--- a/modules/feed/table_sync.cpp
+++ b/modules/feed/table_sync.cpp
@@ -61,8 +61,10 @@
     std::vector<const FleetPeer *> ownDomain;
     std::vector<const FleetPeer *> otherDomains;
     for (const auto &[node, peer] : m_network.peers()) {
-        const bool ahead = m_network.isReachable(peer) && peer.status.tableEnd > m_table.end();
-        if (ahead)
+        if (!m_network.isReachable(peer) || !peer.hasStatus)
+            continue;
+        const bool mayKnowMore = m_table.mayLackRecords() && peer.status.tableEnd.era > 0;
+        if (peer.status.tableEnd > m_table.position() || mayKnowMore)
             (m_network.isInOwnDomain(peer) ? ownDomain : otherDomains).push_back(&peer);
     }
     // A random node of the own failure domain among those that are ahead, so that new records
@@ -75,7 +77,7 @@
     if (m_behindSince == SteadyTime())
         m_behindSince = m_timers.now();
     const bool mustWait = m_timers.now() - m_behindSince < m_options.otherDomainDelay;
-    if (ownDomain.empty() && m_table.end() > 0 && mustWait)
+    if (ownDomain.empty() && m_table.position() != TablePosition() && mustWait)
         return nullptr;
     return sources[m_random.below(sources.size())];
 }
@@ -92,17 +94,19 @@
         return;
     m_fetchPending = true;
     m_fetchedAt = m_timers.now();
-    m_network.send(source->contact.node, TableFetchMessage{.from = m_table.end()});
+    m_network.send(source->contact.node,
+                   TableFetchMessage{.from = m_table.mayLackRecords() ? TablePosition()
+                                                                      : m_table.position()});
 }
 
-const std::string &TableSync::packedRecordsFrom(std::uint64_t offset)
+const std::string &TableSync::packedRecordsFrom(TablePosition from)
 {
     const bool isCached =
-            m_packedFrom == offset && m_packedEnd == m_table.end() && !m_packed.empty();
+            m_packedFrom == from && m_packedEnd == m_table.position() && !m_packed.empty();
     if (!isCached) {
-        m_packed = packPage(m_table.recordsFrom(offset));
-        m_packedFrom = offset;
-        m_packedEnd = m_table.end();
+        m_packed = packPage(m_table.recordsFrom(from));
+        m_packedFrom = from;
+        m_packedEnd = m_table.position();
     }
     return m_packed;
 }
--- a/modules/feed/table_sync.h
+++ b/modules/feed/table_sync.h
@@ -54,9 +54,9 @@
     SteadyTime m_behindSince; ///< Zero while no reachable peer is ahead.
     SteadyTime m_fetchedAt;   ///< When the last fetch was sent.
     Random m_random;
-    std::uint64_t m_packedFrom = 0; ///< Offset from which m_packed was packed.
-    std::uint64_t m_packedEnd = 0;  ///< Table end when m_packed was packed.
-    std::string m_packed;           ///< Last packed page, reused for fetches from the same offset.
+    TablePosition m_packedFrom; ///< From where m_packed was packed.
+    TablePosition m_packedEnd;  ///< Table end when m_packed was packed.
+    std::string m_packed;       ///< Last packed page, reused for fetches from the same offset.
     bool m_fetchPending = false;
     Timer m_checkTimer;
 
@@ -70,7 +70,7 @@
     const FleetPeer *chooseFetchSource();
     /** Returns whether a node of the own failure domain reads the log and was heard of lately. */
     bool isReader(const FleetPeer &peer) const;
-    const std::string &packedRecordsFrom(std::uint64_t offset);
+    const std::string &packedRecordsFrom(TablePosition from);
 
 public:
     TableSync(const TableSyncOptions &options, FleetNetwork &network, TimerService &timers,
--- a/modules/feed/tests/test_table_follower.cpp
+++ b/modules/feed/tests/test_table_follower.cpp
@@ -114,6 +114,30 @@
     CHECK(fixture.table.end() == 1);
 }
 
+// Guards against followers that wait for offsets beyond the end of a restored log, or read on from
+// an offset that now holds another record.
+TEST_CASE("a follower of a restored log reads the whole table and goes on from its end")
+{
+    FollowerFixture fixture;
+    fixture.log.put("t", "config", "r1");
+    fixture.log.put("t", "config", "r2");
+    fixture.follower.setActive(true);
+    fixture.timers.advance(milliseconds(700));
+    fixture.log.silent = GENERATE(false, true);
+    fixture.log.restoreWithout("t", 1);
+    const int writtenSince = GENERATE(0, 1, 3);
+    for (int i = 0; i < writtenSince; ++i)
+        fixture.log.put("t", "config", "r" + std::to_string(3 + i));
+    fixture.timers.advance(milliseconds(600));
+    fixture.log.silent = false;
+    fixture.timers.advance(milliseconds(3'000));
+    const auto end = static_cast<std::uint64_t>(1 + writtenSince);
+    CHECK(fixture.table.position() == TablePosition{.era = 1, .offset = end});
+    fixture.log.put("t", "config", "r9");
+    fixture.timers.advance(milliseconds(1'500));
+    CHECK(fixture.table.position() == TablePosition{.era = 1, .offset = end + 1});
+}
+
 TEST_CASE("an inactive follower does not call the log")
 {
     FollowerFixture fixture;
--- a/modules/feed/tests/test_table_sync.cpp
+++ b/modules/feed/tests/test_table_sync.cpp
@@ -43,7 +43,7 @@
 
     void updateStatus()
     {
-        network.setStatus({.tableEnd = table.end(),
+        network.setStatus({.tableEnd = table.position(),
                            .readsLog = follower.isActive() && follower.isReachable(),
                            .relayCapacity = relayCapacity},
                           StatusAudience::Nobody);
@@ -147,4 +147,28 @@
     CHECK(mesh.nodesWithTableEnd(2) == static_cast<std::ptrdiff_t>(nodeCount));
 }
 
+// Guards against nodes that ignore what was written after a restore of the log.
+TEST_CASE("after restores of the log all nodes follow it from its new end")
+{
+    TableMesh mesh;
+    mesh.longPollWait = TableFollowerOptions().longPollWait;
+    mesh.log.put("t", "config", "r1");
+    mesh.log.put("t", "config", "r2");
+    for (int i = 0; i < 5; ++i)
+        mesh.addNode();
+    mesh.advance(milliseconds(4'000));
+    const std::uint64_t restores = GENERATE(1U, 2U);
+    for (std::uint64_t i = 0; i < restores; ++i) {
+        mesh.log.restoreWithout("t", 1);
+        mesh.advance(milliseconds(300));
+    }
+    mesh.addNode();
+    mesh.advance(milliseconds(2'000));
+    mesh.log.put("t", "config", "r3");
+    mesh.advance(milliseconds(2'500));
+    const TablePosition end{.era = restores, .offset = 3 - restores};
+    for (const std::unique_ptr<TableNode> &node : mesh.nodes)
+        CHECK(node->table.position() == end);
+}
+
 } // namespace jacinthshift
--- a/modules/fleet/message_codec.cpp
+++ b/modules/fleet/message_codec.cpp
@@ -132,16 +132,18 @@
 {
     json records = json::array();
     for (const KeyedRecord &record : page.records)
-        records.push_back({record.key, encodeBytes(record.value), record.offset});
-    return {page.endOffset, records, page.isWholeTable};
+        records.push_back({record.key, encodeBytes(record.value), record.offset, record.era});
+    return {page.endOffset, records, page.isWholeTable, page.era};
 }
 
 KeyedPage decodePage(const json &source)
 {
-    KeyedPage page{.endOffset = source.at(0), .isWholeTable = source.at(2)};
+    KeyedPage page{.endOffset = source.at(0), .era = source.at(3), .isWholeTable = source.at(2)};
     for (const json &record : source.at(1)) {
-        page.records.push_back(KeyedRecord{
-                .key = record.at(0), .value = decodeBytes(record.at(1)), .offset = record.at(2)});
+        page.records.push_back(KeyedRecord{.key = record.at(0),
+                                           .value = decodeBytes(record.at(1)),
+                                           .offset = record.at(2),
+                                           .era = record.at(3)});
     }
     return page;
 }
@@ -175,17 +177,18 @@
 
 json encode(const StatusMessage &message)
 {
-    return {message.tableEnd, message.leaving, message.readsLog, encodeBackend(message.backend),
-            message.relayCapacity};
+    return {message.tableEnd.offset,        message.leaving,       message.readsLog,
+            encodeBackend(message.backend), message.relayCapacity, message.tableEnd.era};
 }
 
 void decode(const json &source, StatusMessage &message)
 {
-    source.at(0).get_to(message.tableEnd);
+    source.at(0).get_to(message.tableEnd.offset);
     source.at(1).get_to(message.leaving);
     source.at(2).get_to(message.readsLog);
     message.backend = decodeBackend(source.at(3));
     source.at(4).get_to(message.relayCapacity);
+    source.at(5).get_to(message.tableEnd.era);
 }
 
 json encode(const WorkCallMessage &message)
@@ -316,12 +319,13 @@
 
 json encode(const TableFetchMessage &message)
 {
-    return message.from;
+    return {message.from.offset, message.from.era};
 }
 
 void decode(const json &source, TableFetchMessage &message)
 {
-    source.get_to(message.from);
+    source.at(0).get_to(message.from.offset);
+    source.at(1).get_to(message.from.era);
 }
 
 json encode(const TableRecordsMessage &message)
--- a/modules/fleet/messages.h
+++ b/modules/fleet/messages.h
@@ -81,9 +81,9 @@
 /** A node's state, sent when it changes and as a heartbeat. */
 struct StatusMessage
 {
-    std::uint64_t tableEnd = 0; ///< End offset of the sender's copy of the operator table.
-    bool leaving = false;       ///< Whether the node is shutting down.
-    bool readsLog = false;      ///< Whether it reads the log for other nodes of its failure domain.
+    TablePosition tableEnd; ///< End of the sender's copy of the operator table.
+    bool leaving = false;   ///< Whether the node is shutting down.
+    bool readsLog = false;  ///< Whether it reads the log for other nodes of its failure domain.
     /**
      * Relay capacity of its VM, the smaller of its processor share in hundredths of a core and its
      * bandwidth in steps of 10 Mbit/s. The nodes with the highest values read the log.
@@ -199,10 +199,10 @@
     std::uint64_t lastCall = 0;       ///< Id of the caller's last call to any node.
 };
 
-/** Requests the records of the operator table from an offset on. */
+/** Requests the records of the operator table from a place on. */
 struct TableFetchMessage
 {
-    std::uint64_t from = 0; ///< Offset of the first record.
+    TablePosition from; ///< Of the first record.
 };
 
 /**
--- a/modules/fleet/tests/test_fleet_codec.cpp
+++ b/modules/fleet/tests/test_fleet_codec.cpp
@@ -46,11 +46,12 @@
 {
     const std::vector<FleetMessage> messages = {
             GreetingMessage{.self = {.node = "n", .linkEndpoint = {"127.0.0.1", 1}}},
-            StatusMessage{.tableEnd = 4, .backend = {.id = "i", .concurrencyLimit = 3}},
+            StatusMessage{.tableEnd = {.era = 2, .offset = 4},
+                          .backend = {.id = "i", .concurrencyLimit = 3}},
             WorkResultMessage{.call = 1, .result = {.refusal = WorkRefusal::Overloaded}},
             WorkCancelMessage{.callerProcess = 8, .call = 9},
             WorkResumeMessage{.callerProcess = 8, .calls = {1, 2}},
-            TableFetchMessage{.from = 12},
+            TableFetchMessage{.from = {.era = 1, .offset = 12}},
             TableRecordsMessage{.packedPage = "p"},
             VersionEvidenceMessage{.service = "s", .routes = {{.route = "r"}}},
             CrashSuspectMessage{.fingerprint = ~0ULL, .backend = "b"},
--- a/modules/rollout/rollout_controller.cpp
+++ b/modules/rollout/rollout_controller.cpp
@@ -38,19 +38,26 @@
     m_tick = Timer(timers, timers.startPeriodic(options.tickPeriod, [this] { tick(); }));
 }
 
-void RolloutController::setOrder(const RolloutOrder &order, std::uint64_t offset)
+void RolloutController::setOrder(const RolloutOrder &order, TablePosition position)
 {
     const auto found = m_rollouts.find(order.service);
-    if (found != m_rollouts.end() && found->second->offset >= offset)
-        return;
-    const RolloutPointer rollout = std::make_shared<Rollout>(order, offset, m_options.detector);
+    if (found != m_rollouts.end()) {
+        Rollout &current = *found->second;
+        if (current.position >= position)
+            return;
+        if (current.position.era < position.era && current.order == order) {
+            current.position = position;
+            return;
+        }
+    }
+    const RolloutPointer rollout = std::make_shared<Rollout>(order, position, m_options.detector);
     rollout->receivedAt = m_timers.now();
     rollout->stepStartedAt = m_timers.now();
     m_rollouts[order.service] = rollout;
     logEvent(Event::RolloutOrdered, {{"service", order.service},
                                      {"target", order.targetVersion},
                                      {"within_ms", order.duration.count()},
-                                     {"offset", offset}});
+                                     {"offset", position.offset}});
     const auto early = m_earlyProgress.find(order.service);
     if (early != m_earlyProgress.end() && early->second.targetVersion == order.targetVersion)
         applyPeerProgress(*rollout, early->second, "an earlier message");
@@ -73,6 +80,15 @@
     updateOwner();
 }
 
+void RolloutController::logRestored()
+{
+    for (const auto &[service, rollout] : m_rollouts) {
+        rollout->startWritten = false;
+        rollout->writtenOutcome = RolloutOutcome::Open;
+        rollout->writeDueSince = SteadyTime();
+    }
+}
+
 VersionChoice RolloutController::chooseVersion(const std::string &service)
 {
     const auto found = m_rollouts.find(service);
--- a/modules/rollout/rollout_controller.h
+++ b/modules/rollout/rollout_controller.h
@@ -72,14 +72,16 @@
     /** The state of the rollout of one service. */
     struct Rollout
     {
-        Rollout(const RolloutOrder &rolloutOrder, std::uint64_t orderOffset,
+        Rollout(const RolloutOrder &rolloutOrder, TablePosition orderPosition,
                 const FaultDetectorOptions &detector)
-            : order(rolloutOrder), offset(orderOffset), judge(rolloutOrder.targetVersion, detector)
+            : order(rolloutOrder)
+            , position(orderPosition)
+            , judge(rolloutOrder.targetVersion, detector)
         {
         }
 
         RolloutOrder order;
-        std::uint64_t offset; ///< Offset of the order's record in the operator table.
+        TablePosition position; ///< Of the order's record in the operator table.
         RolloutJudge judge;
         SteadyTime receivedAt;    ///< When this node received the order.
         SteadyTime firstAnswerAt; ///< When answers of the new version were first counted.
@@ -150,13 +152,16 @@
                       TimerService &timers, RolloutRegister &rolloutRegister, BackendOwner &owner);
 
     /**
-     * Starts a rollout that the operator ordered. `offset` is that of the order's record in the
-     * operator table; an order is ignored unless it is greater than that of the service's current
-     * order.
+     * Starts a rollout that the operator ordered. `position` is that of the order's record in the
+     * operator table; an order is ignored unless it is after that of the service's current order.
+     * The same order in a later era is the current one, which the operator wrote again after the
+     * log was restored.
      */
-    void setOrder(const RolloutOrder &order, std::uint64_t offset);
+    void setOrder(const RolloutOrder &order, TablePosition position);
     /** Drops the order of a service; a version that was rolled back stays excluded. */
     void removeOrder(const std::string &service);
+    /** Writes again what the register has lost because the log was restored from an older copy. */
+    void logRestored();
 
     VersionChoice chooseVersion(const std::string &service) override;
     void messageReceived(const std::string &node, const FleetMessage &message) override;
--- a/modules/rollout/tests/test_rollout_controller.cpp
+++ b/modules/rollout/tests/test_rollout_controller.cpp
@@ -130,7 +130,7 @@
     FakeRegister rolloutRegister;
     rolloutRegister.entry = {.targetVersion = "v2", .outcome = RolloutOutcome::RolledBack};
     RolloutNode node(hub, rolloutRegister, "a", 1);
-    node.controller.setOrder(rolloutToV2, 1);
+    node.controller.setOrder(rolloutToV2, {.offset = 1});
     CHECK(node.controller.chooseVersion("s").excludedVersion == "v2");
 }
 
@@ -141,16 +141,16 @@
     FakeRegister rolloutRegister;
     rolloutRegister.entry = {.targetVersion = "v2", .outcome = RolloutOutcome::Completed};
     RolloutNode peer(hub, rolloutRegister, "a", 1);
-    peer.controller.setOrder(rolloutToV2, 1);
+    peer.controller.setOrder(rolloutToV2, {.offset = 1});
     rolloutRegister.unavailable = true;
     RolloutNode restarted(hub, rolloutRegister, "b", 2);
     restarted.network.addContacts({peer.network.self()});
     SECTION("when the order arrives before the progress message")
     {
-        restarted.controller.setOrder(rolloutToV2, 1);
+        restarted.controller.setOrder(rolloutToV2, {.offset = 1});
     }
     timers.advance(milliseconds(600));
-    restarted.controller.setOrder(rolloutToV2, 1);
+    restarted.controller.setOrder(rolloutToV2, {.offset = 1});
     CHECK(restarted.controller.chooseVersion("s").requiredVersion == "v2");
 }
 
@@ -161,7 +161,7 @@
     FakeRegister rolloutRegister;
     rolloutRegister.unavailable = true;
     RolloutNode node(hub, rolloutRegister, "a", 1);
-    node.controller.setOrder(rolloutToV2, 1);
+    node.controller.setOrder(rolloutToV2, {.offset = 1});
     for (int i = 0; i < 100; ++i)
         CHECK(node.controller.chooseVersion("s").excludedVersion == "v2");
 }
@@ -172,7 +172,7 @@
 {
     LargeMesh mesh;
     for (const std::unique_ptr<RolloutNode> &node : mesh.nodes)
-        node->controller.setOrder(rolloutToV2, 1);
+        node->controller.setOrder(rolloutToV2, {.offset = 1});
     // No two of the three reports are enough for a verdict.
     mesh.reportFailures(0, 2);
     mesh.timers.advance(milliseconds(1'000));
@@ -186,4 +186,42 @@
     CHECK(mesh.rolloutRegister.entry.outcome == RolloutOutcome::RolledBack);
 }
 
+// Guards against a rollout that begins again, or whose outcome the operator never sees, because the
+// store came back from a copy that was made before the end.
+TEST_CASE("after a restore of the log the outcome of a rollout is written again")
+{
+    ManualTimerService timers;
+    FakeLinkHub hub(timers);
+    FakeRegister rolloutRegister;
+    const RolloutOutcome outcome = GENERATE(RolloutOutcome::Completed, RolloutOutcome::RolledBack);
+    rolloutRegister.entry = {.targetVersion = "v2", .outcome = outcome};
+    RolloutNode node(hub, rolloutRegister, "a", 1);
+    node.controller.setOrder(rolloutToV2, {.offset = 1});
+    timers.advance(milliseconds(1'000));
+    SECTION("the copy lacks the rollout")
+    {
+        rolloutRegister.entry = {};
+    }
+    SECTION("the copy has it in progress")
+    {
+        rolloutRegister.entry = {.targetVersion = "v2", .outcome = RolloutOutcome::Open};
+    }
+    node.controller.logRestored();
+    node.controller.setOrder(rolloutToV2, {.era = 1, .offset = 0});
+    timers.advance(milliseconds(3'000));
+    CHECK(rolloutRegister.entry.targetVersion == "v2");
+    CHECK(rolloutRegister.entry.outcome == outcome);
+    const VersionChoice choice = node.controller.chooseVersion("s");
+    CHECK((outcome == RolloutOutcome::Completed ? choice.requiredVersion : choice.excludedVersion)
+          == "v2");
+    SECTION("and a new order of the operator begins a rollout")
+    {
+        RolloutOrder next = rolloutToV2;
+        next.targetVersion = "v3";
+        node.controller.setOrder(next, {.era = 1, .offset = 3});
+        timers.advance(milliseconds(1'000));
+        CHECK(rolloutRegister.entry.targetVersion == "v3");
+    }
+}
+
 } // namespace jacinthshift
--- a/modules/traffic/traffic_config.h
+++ b/modules/traffic/traffic_config.h
@@ -65,6 +65,8 @@
     std::string service;
     std::string targetVersion;
     std::chrono::milliseconds duration{0}; ///< Time within which it has to be completed.
+
+    bool operator==(const RolloutOrder &) const = default;
 };
 
 } // namespace jacinthshift
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -174,6 +174,8 @@
 
     absl::Status start();
     void handleOperatorRecord(const KeyedRecord &record);
+    /** Writes again what the store has lost because it was restored from an older copy. */
+    void logRestored(std::uint64_t era);
     void installPendingConfig();
     void applyRecord(const KeyedRecord &record);
     void installConfig(TrafficConfig newConfig);
@@ -261,7 +263,7 @@
     , tableSync(TableSyncOptions{.relayCapacity = computeRelayCapacity(settings),
                                  .randomSeed = randomSeed},
                 network, timers, table, follower)
-    , discovery(NodeDiscoveryOptions{}, storeClient, network, timers)
+    , discovery(NodeDiscoveryOptions{.randomSeed = randomSeed}, storeClient, network, timers)
     , callerServer(callerServerOptions(settings, CallerLimits()))
     , readinessServer(HttpServerOptions{.serveClosedCallers = true})
     , controlServer(HttpServerOptions{.serveClosedCallers = true})
@@ -269,6 +271,7 @@
 {
     network.addObserver(*this);
     table.setListener([this](const KeyedRecord &record) { handleOperatorRecord(record); });
+    table.setRestoreListener([this](std::uint64_t era) { logRestored(era); });
 }
 
 absl::Status MeshNode::Components::start()
@@ -329,6 +332,13 @@
     applyRecord(record);
 }
 
+void MeshNode::Components::logRestored(std::uint64_t era)
+{
+    logEvent(Event::LogRestored, {{"era", era}, {"end", table.end()}});
+    discovery.logRestored();
+    rollouts.logRestored();
+}
+
 void MeshNode::Components::installPendingConfig()
 {
     configTimer.stop();
@@ -356,7 +366,7 @@
     if (TrafficConfig *newConfig = std::get_if<TrafficConfig>(&*decoded))
         installConfig(std::move(*newConfig));
     else if (const RolloutOrder *order = std::get_if<RolloutOrder>(&*decoded))
-        rollouts.setOrder(*order, record.offset);
+        rollouts.setOrder(*order, record.position());
     else if (const RolloutWithdrawal *withdrawal = std::get_if<RolloutWithdrawal>(&*decoded))
         rollouts.removeOrder(withdrawal->service);
     else if (const DomainOrder *domainOrder = std::get_if<DomainOrder>(&*decoded))
@@ -396,7 +406,7 @@
 
 void MeshNode::Components::publishStatus(StatusAudience audience)
 {
-    StatusMessage status{.tableEnd = table.end(),
+    StatusMessage status{.tableEnd = table.position(),
                          .leaving = ownerLeaving,
                          .readsLog = follower.isActive() && follower.isReachable(),
                          .relayCapacity = computeRelayCapacity(settings),
--- a/node/node_discovery.cpp
+++ b/node/node_discovery.cpp
@@ -26,6 +26,13 @@
     });
 }
 
+void NodeDiscovery::logRestored()
+{
+    // All nodes learn of a restore at about the same time, and the log limits writes per second.
+    m_retryTimer = Timer(m_timers, m_timers.startOnce(m_random.jitter(m_options.rewritePeriod),
+                                                      [this] { writeOwnContact(); }));
+}
+
 void NodeDiscovery::scheduleRead(std::chrono::milliseconds delay)
 {
     m_retryTimer = Timer(m_timers, m_timers.startOnce(delay, [this] { readContacts(); }));
--- a/node/node_discovery.h
+++ b/node/node_discovery.h
@@ -1,6 +1,7 @@
 #ifndef NODE_NODE_DISCOVERY_H
 #define NODE_NODE_DISCOVERY_H
 
+#include "core/random.h"
 #include "modules/fleet/fleet_network.h"
 #include "servers/keyed_log.h"
 #include "servers/timer_service.h"
@@ -12,6 +13,9 @@
     std::chrono::milliseconds retryDelay{400}; ///< After a failed write or read.
     /** A node that still has no link this long after a read reads the contacts again. */
     std::chrono::milliseconds isolatedRereadDelay{1'500};
+    /** Within this time after a restore of the log all nodes write their contacts again. */
+    std::chrono::milliseconds rewritePeriod{1'000};
+    std::uint64_t randomSeed = 0;
 };
 
 /**
@@ -26,6 +30,7 @@
     KeyedLog &m_log;
     FleetNetwork &m_network;
     TimerService &m_timers;
+    Random m_random;
     Timer m_retryTimer;
 
     void writeOwnContact();
@@ -36,11 +41,17 @@
 public:
     NodeDiscovery(const NodeDiscoveryOptions &options, KeyedLog &log, FleetNetwork &network,
                   TimerService &timers)
-        : m_options(options), m_log(log), m_network(network), m_timers(timers)
+        : m_options(options)
+        , m_log(log)
+        , m_network(network)
+        , m_timers(timers)
+        , m_random(options.randomSeed)
     {
     }
 
     void start() { writeOwnContact(); }
+    /** Writes the contact again, as the log was restored from a copy that may lack it. */
+    void logRestored();
 };
 
 } // namespace jacinthshift
--- a/node/tests/test_node_discovery.cpp
+++ b/node/tests/test_node_discovery.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include "node/node_discovery.h"
+#include "platform/wire_names.h"
 #include "tests/support/fake_keyed_log.h"
 #include "tests/support/fake_link_hub.h"
 
@@ -59,4 +60,20 @@
     CHECK(first.network.peers().size() == 1);
 }
 
+// Guards against nodes that started after a restore and cannot find the others.
+TEST_CASE("after a restore of the log a node writes its contact again")
+{
+    ManualTimerService timers;
+    FakeLinkHub hub(timers);
+    FakeKeyedLog log;
+    DiscoveringNode node(hub, log, "a-1", 1);
+    const std::string table = wire::NodesTable;
+    REQUIRE_FALSE(log.newest(table, "a-1").empty());
+    log.restoreWithout(table, 1);
+    REQUIRE(log.newest(table, "a-1").empty());
+    node.discovery.logRestored();
+    timers.advance(milliseconds(1'000));
+    CHECK_FALSE(log.newest(table, "a-1").empty());
+}
+
 } // namespace jacinthshift
--- a/servers/keyed_log.h
+++ b/servers/keyed_log.h
@@ -2,6 +2,7 @@
 #define SERVERS_KEYED_LOG_H
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -13,14 +14,28 @@
 
 namespace jacinthshift {
 
+/**
+ * A place in a table. When the log is restored from an older copy, its era increases and offsets
+ * are given out again, so a place of a later era is the newer one whatever its offset.
+ */
+struct TablePosition
+{
+    std::uint64_t era = 0;
+    std::uint64_t offset = 0;
+
+    auto operator<=>(const TablePosition &) const = default;
+};
+
 /** A record of a table: a new value of a key, or its removal. */
 struct KeyedRecord
 {
     std::string key;
     std::string value;        ///< Empty if the key was removed.
-    std::uint64_t offset = 0; ///< Increases with every record of the table.
+    std::uint64_t offset = 0; ///< Increases with every record of the table within an era.
+    std::uint64_t era = 0;    ///< See TablePosition.
 
     bool isRemoval() const { return value.empty(); }
+    TablePosition position() const { return {.era = era, .offset = offset}; }
 };
 
 /** The result of a read. readFrom() orders the records by offset. */
@@ -29,13 +44,11 @@
     std::vector<KeyedRecord> records;
     /** Where the next readFrom() continues: after the last record read, or the table's end. */
     std::uint64_t endOffset = 0;
-    /**
-     * Counts how often the log was restored from an older copy. Offsets start to be reused then, so
-     * those of different eras cannot be compared.
-     */
-    std::uint64_t era = 0;
+    std::uint64_t era = 0; ///< Of endOffset; see TablePosition.
     /** The page holds every key of the table, so keys that it lacks were removed. */
     bool isWholeTable = false;
+
+    TablePosition end() const { return {.era = era, .offset = endOffset}; }
 };
 
 /** Which records to read. */
--- a/tests/support/fake_keyed_log.h
+++ b/tests/support/fake_keyed_log.h
@@ -34,9 +34,9 @@
     std::vector<PendingRead> m_pendingReads;
     TimerService *m_timers = nullptr;
 
-    static KeyedPage emptyPage(const KeyedReadRequest &request)
+    KeyedPage emptyPage(const KeyedReadRequest &request) const
     {
-        return KeyedPage{.endOffset = request.fromOffset};
+        return KeyedPage{.endOffset = request.fromOffset, .era = era};
     }
     void addPendingRead(const KeyedReadRequest &request, PageCallback callback)
     {
@@ -78,11 +78,24 @@
     bool loseWriteResponses = false; ///< Writes take effect but report Unknown.
     bool silent = false;             ///< Reads are never answered, not even later.
     int callCount = 0;
+    std::uint64_t era = 0;
 
+    /**
+     * Restores all tables from a copy that lacks the last records of one of them. Pending reads are
+     * reset.
+     */
+    void restoreWithout(const std::string &table, std::size_t lastRecords)
+    {
+        ++era;
+        std::vector<KeyedRecord> &records = m_tables[table].records;
+        records.resize(records.size() - lastRecords);
+        failPendingReads();
+    }
     void put(const std::string &table, const std::string &key, const std::string &value)
     {
         Table &target = m_tables[table];
-        target.records.push_back({.key = key, .value = value, .offset = target.records.size()});
+        target.records.push_back(
+                {.key = key, .value = value, .offset = target.records.size(), .era = era});
         completeReads(table);
     }
     void remove(const std::string &table, const std::string &key) { put(table, key, ""); }
@@ -129,8 +142,9 @@
         std::map<std::string, KeyedRecord> newest;
         for (const KeyedRecord &record : m_tables[table].records)
             newest[record.key] = record;
-        KeyedPage page{.endOffset = m_tables[table].records.size()};
-        for (const auto &[key, record] : newest) {
+        KeyedPage page{.endOffset = m_tables[table].records.size(), .era = era};
+        for (auto &[key, record] : newest) {
+            record.era = era;
             if (!record.isRemoval())
                 page.records.push_back(record);
         }
@@ -144,17 +158,20 @@
         const Table &table = m_tables[request.table];
         if (unavailable) {
             callback(absl::UnavailableError("down"));
-        } else if (request.fromOffset < table.firstOffset) {
+        } else if (request.fromOffset < table.firstOffset
+                   || request.fromOffset > table.records.size()) {
             callback(absl::OutOfRangeError("the offset is no longer retained"));
         } else if (request.fromOffset >= table.records.size() && request.maxWait.count() == 0) {
             callback(emptyPage(request));
         } else if (request.fromOffset >= table.records.size()) {
             addPendingRead(request, std::move(callback));
         } else {
-            KeyedPage page{.endOffset = table.records.size()};
+            KeyedPage page{.endOffset = table.records.size(), .era = era};
             page.records.assign(table.records.begin()
                                         + static_cast<std::ptrdiff_t>(request.fromOffset),
                                 table.records.end());
+            for (KeyedRecord &record : page.records)
+                record.era = era;
             callback(page);
         }
     }
