HTTP server: several requests of a connection in flight

Cause: the next request of a connection was read only after the response to the one before it, which makes pipelining callers slow. A connection that closed with unread input was also reset, which can destroy the last response. Change: HttpServerOptions::mayRunAhead says which requests may be passed on beside earlier ones; without it, requests are processed in series as before. The connection, its queue of responses, the shared state and the responder are classes of their own. A request that may not run ahead waits until all responses before it are written; a closing connection accepts nothing more and closes with its last response; malformed input is answered in its turn; unread input at a close is drained for up to 1 s. Bounds stop reading instead of failing, and the end of a caller is watched meanwhile.

--- a/drivers/beast/beast_http_server.h
+++ b/drivers/beast/beast_http_server.h
@@ -8,15 +8,12 @@
 
 namespace jacinthshift {
 
+struct BeastServerState;
+
 /** An HTTP server that uses the request parser of Boost.Beast over sockets of the epoll loop. */
 class BeastHttpServer final : public HttpServer
 {
-public:
-    class Connection;
-
-private:
-    struct State;
-    std::shared_ptr<State> m_state;
+    std::shared_ptr<BeastServerState> m_state;
 
 public:
     explicit BeastHttpServer(const HttpServerOptions &options);
@@ -27,13 +24,20 @@
 
     /** Replaces the options; a request that is being read keeps its size limits. */
     void setOptions(const HttpServerOptions &options);
-    /** Closes each connection after its next response. */
+    /**
+     * Closes each connection after the response to the last of its requests in flight, or after its
+     * next response.
+     */
     void disableKeepAlive();
     std::size_t connectionCount() const;
     /** Returns the number of requests that were dropped as their callers had closed before. */
     std::uint64_t abandonedRequests() const;
     /** Returns the number of requests that were read and await a response. */
     std::size_t openRequests() const;
+    /** Returns the number of requests that were passed on before an earlier one was answered. */
+    std::uint64_t requestsRunAhead() const;
+    /** Returns the bytes of responses that wait for the response to an earlier request. */
+    std::size_t bufferedResponseBytes() const;
 };
 
 } // namespace jacinthshift
--- a/drivers/beast/http_wire.cpp
+++ b/drivers/beast/http_wire.cpp
@@ -67,4 +67,10 @@
     return bytes;
 }
 
+void addConnectionClose(std::string &response)
+{
+    const std::string_view endOfLine = "\r\n";
+    response.insert(response.find(endOfLine) + endOfLine.size(), "Connection: close\r\n");
+}
+
 } // namespace jacinthshift
--- a/drivers/beast/http_wire.h
+++ b/drivers/beast/http_wire.h
@@ -20,6 +20,9 @@
  */
 std::string serializeResponse(const HttpResponse &response, bool keepAlive);
 
+/** Adds "Connection: close" to the bytes of a response that was serialized without it. */
+void addConnectionClose(std::string &response);
+
 } // namespace jacinthshift
 
 #endif // DRIVERS_BEAST_HTTP_WIRE_H
--- a/drivers/tcp/tcp_socket.cpp
+++ b/drivers/tcp/tcp_socket.cpp
@@ -154,6 +154,12 @@
     wait(alsoWritable ? input | EPOLLOUT : input, std::move(ready));
 }
 
+void TcpSocket::waitPeerClose(bool alsoWritable, std::function<void()> ready)
+{
+    const std::uint32_t end = EPOLLRDHUP;
+    wait(alsoWritable ? end | EPOLLOUT : end, std::move(ready));
+}
+
 void TcpSocket::descriptorReady(std::uint32_t events)
 {
     m_peerClosed = (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0;
--- a/drivers/tcp/tcp_socket.h
+++ b/drivers/tcp/tcp_socket.h
@@ -64,6 +64,8 @@
     void waitWritable(std::function<void()> ready);
     /** Waits for input and, if alsoWritable is set, for space to write. */
     void waitFor(bool alsoWritable, std::function<void()> ready);
+    /** Waits until the peer closes its end, regardless of input, or for space to write. */
+    void waitPeerClose(bool alsoWritable, std::function<void()> ready);
     /** Removes the callback. The descriptor stays watched until its next event. */
     void stopWaiting() { m_readyCallback = nullptr; }
 
--- a/servers/http_server.h
+++ b/servers/http_server.h
@@ -45,6 +45,24 @@
      * connection before the request was read. A caller that waits for a response does not.
      */
     bool serveClosedCallers = false;
+    /**
+     * Returns whether a request may be passed to the handler while earlier requests of its
+     * connection have no response yet; the request may then run twice if the connection breaks.
+     * Without it, the requests of a connection are processed one after the other.
+     */
+    std::function<bool(const HttpRequest &)> mayRunAhead;
+    /**
+     * Requests of one connection that may be without a written response. At this bound and the
+     * two below, the connection is not read until a response has been written.
+     */
+    std::size_t maxRequestsInFlight = 32;
+    /**
+     * Bytes of responses of one connection that wait for an earlier response. A request counts
+     * with an estimate, based on earlier responses, until its response has arrived.
+     */
+    std::size_t maxBufferedResponseBytes = 256 * 1024;
+    /** The same for all connections together. */
+    std::size_t maxTotalBufferedResponseBytes = 8 * 1024 * 1024;
 };
 
 /** Accepts HTTP requests and passes each one to the handler once its whole body has been read. */
