Callers' server: idempotent requests run ahead, with metrics

Cause: the server needs to know which requests may be passed on before earlier ones of their connection are answered.

--- a/modules/forwarding/forwarder.cpp
+++ b/modules/forwarding/forwarder.cpp
@@ -78,6 +78,14 @@
         tryNextOwner(incoming);
 }
 
+bool Forwarder::isIdempotent(const HttpRequest &request) const
+{
+    if (m_routes == nullptr)
+        return false;
+    const ActiveRoute *route = m_routes->find(findHeader(request.headers, "host"), request.target);
+    return route != nullptr && route->settings().idempotent;
+}
+
 bool Forwarder::admit(const RequestPointer &request)
 {
     if (m_stopping) {
--- a/modules/forwarding/forwarder.h
+++ b/modules/forwarding/forwarder.h
@@ -171,6 +171,8 @@
     void setRoutes(RouteTable *routes) { m_routes = routes; }
     /** Sets the number of nodes that share the operator's retry limits. */
     void setNodeCount(std::size_t nodeCount) { m_budgets.setNodeCount(nodeCount); }
+    /** Returns whether a request may be repeated, according to its route. */
+    bool isIdempotent(const HttpRequest &request) const;
     /** Forwards one request and answers it through the responder. */
     void forward(HttpRequest request, std::shared_ptr<HttpResponder> responder);
     /** Refuses all further requests; those in flight are still answered. */
--- a/modules/forwarding/tests/test_forwarder.cpp
+++ b/modules/forwarding/tests/test_forwarder.cpp
@@ -177,6 +177,21 @@
 
 } // namespace
 
+// Guards against a request that runs ahead of others, and perhaps twice, though it must not.
+TEST_CASE("whether a request is idempotent depends on its route")
+{
+    ForwarderBench bench;
+    const auto isIdempotent = [&](const std::string &host, const std::string &target) {
+        return bench.forwarder.isIdempotent({.target = target, .headers = {{"Host", host}}});
+    };
+    CHECK(isIdempotent("h", "/read/1"));
+    CHECK_FALSE(isIdempotent("h", "/write/1"));
+    CHECK_FALSE(isIdempotent("h", "/unknown"));
+    CHECK_FALSE(isIdempotent("other", "/read/1"));
+    bench.forwarder.setRoutes(nullptr);
+    CHECK_FALSE(isIdempotent("h", "/read/1"));
+}
+
 TEST_CASE("a request that is not idempotent is not retried after it may have run")
 {
     ForwarderBench bench;
--- a/node/mesh_metrics.cpp
+++ b/node/mesh_metrics.cpp
@@ -46,6 +46,8 @@
     appendMetric("loop_delays_total", sources.loop.reportedDelays());
     appendMetric("caller_connections", sources.callerConnections);
     appendMetric("requests_abandoned_total", sources.abandonedRequests);
+    appendMetric("requests_run_ahead_total", sources.requestsRunAhead);
+    appendMetric("responses_buffered_bytes", sources.bufferedResponseBytes);
     appendMetric("requests_open", sources.openRequests);
     appendMetric("calls_orphaned_total", sources.orphanedCalls);
     appendMetric("crash_suspects", sources.crashSuspects);
--- a/node/mesh_metrics.h
+++ b/node/mesh_metrics.h
@@ -25,6 +25,8 @@
     std::uint64_t configVersion = 0;
     std::size_t callerConnections = 0;
     std::uint64_t abandonedRequests = 0;
+    std::uint64_t requestsRunAhead = 0;
+    std::size_t bufferedResponseBytes = 0;
     std::size_t openRequests = 0;
     std::uint64_t orphanedCalls = 0;
     std::size_t crashSuspects = 0;
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -97,6 +97,12 @@
     return std::min(limit, std::size_t(system.totalram) * system.mem_unit / parts);
 }
 
+/** Returns how many bytes of responses may wait for earlier ones on callers' connections. */
+std::size_t maxBufferedResponseBytes()
+{
+    return memoryShare(32, HttpServerOptions().maxTotalBufferedResponseBytes);
+}
+
 /** Returns how many bytes of request bodies the node holds, for callers and as an owner each. */
 std::size_t maxHeldBodyBytes()
 {
@@ -104,7 +110,8 @@
     return memoryShare(16, HttpServerOptions().maxHeldBodyBytes);
 }
 
-HttpServerOptions callerServerOptions(const MeshSettings &settings, const CallerLimits &limits)
+HttpServerOptions callerServerOptions(const MeshSettings &settings, const CallerLimits &limits,
+                                      const Forwarder &forwarder)
 {
     const std::uint32_t maxConnections = std::max(
             64U, settings.maxFiles > ReservedDescriptors ? settings.maxFiles - ReservedDescriptors
@@ -116,7 +123,12 @@
                              .idleTimeout = limits.idleTimeout,
                              .maxConnections = maxConnections,
                              .maxKeepAliveConnections =
-                                     static_cast<std::size_t>(maxConnections * KeepAliveShare)};
+                                     static_cast<std::size_t>(maxConnections * KeepAliveShare),
+                             .mayRunAhead =
+                                     [&forwarder](const HttpRequest &request) {
+                                         return forwarder.isIdempotent(request);
+                                     },
+                             .maxTotalBufferedResponseBytes = maxBufferedResponseBytes()};
 }
 
 } // namespace
@@ -262,7 +274,7 @@
                                  .randomSeed = randomSeed},
                 network, timers, table, follower)
     , discovery(NodeDiscoveryOptions{}, storeClient, network, timers)
-    , callerServer(callerServerOptions(settings, CallerLimits()))
+    , callerServer(callerServerOptions(settings, CallerLimits(), forwarder))
     , readinessServer(HttpServerOptions{.serveClosedCallers = true})
     , controlServer(HttpServerOptions{.serveClosedCallers = true})
     , metricsServer(HttpServerOptions{.serveClosedCallers = true})
@@ -376,7 +388,7 @@
     hasConfig = true;
     routes = RouteTable(config, randomSeed);
     forwarder.setRoutes(&routes);
-    callerServer.setOptions(callerServerOptions(settings, config.limits));
+    callerServer.setOptions(callerServerOptions(settings, config.limits, forwarder));
     const auto policy = config.services.find(settings.service);
     if (policy != config.services.end())
         owner.setPolicy(policy->second);
@@ -452,6 +464,8 @@
                             .configVersion = config.version,
                             .callerConnections = callerServer.connectionCount(),
                             .abandonedRequests = callerServer.abandonedRequests(),
+                            .requestsRunAhead = callerServer.requestsRunAhead(),
+                            .bufferedResponseBytes = callerServer.bufferedResponseBytes(),
                             .openRequests = forwarder.openRequests(),
                             .orphanedCalls = callServer.orphanedCalls(),
                             .crashSuspects = poison.size(),
@@ -482,7 +496,7 @@
     settings.maxFiles = newSettings.maxFiles;
     storeClient.setServer(newSettings.store);
     setLogLevel(newSettings.logLevel);
-    callerServer.setOptions(callerServerOptions(settings, config.limits));
+    callerServer.setOptions(callerServerOptions(settings, config.limits, forwarder));
     for (const Endpoint &node : newSettings.seeds)
         network.connectEndpoint(node);
     logEvent(Event::SettingsReloaded, {{"why", reason}, {"store", settings.store.text()}});
