Workspace keys: requests are checked against the configuration

Cause: where the configuration has workspaces, requests must carry a key of one of them, and backend servers must receive only the workspace's name. Without workspaces, a request costs one comparison of a pointer more. Withdrawn keys on nodes without contact to the store are not refused yet.

--- a/modules/forwarding/forwarder.cpp
+++ b/modules/forwarding/forwarder.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr int StatusBadRequest = 400;
+constexpr int StatusUnauthorized = 401;
 constexpr int StatusNotFound = 404;
 constexpr int FirstServerError = 500;
 constexpr int StatusBadGateway = 502;
@@ -103,16 +104,42 @@
         return false;
     }
     const TrafficRoute &settings = route->settings();
+    request->priority = settings.priority;
+    if (m_keyCheck != nullptr && m_keyCheck->isEnabled() && !admitKey(*request, settings))
+        return false;
     request->route = settings.name;
     request->service = route->nextService();
     request->version = m_versions.chooseVersion(request->service);
-    request->priority = settings.priority;
     request->idempotent = settings.idempotent;
     request->maxAttempts = std::max(1U, settings.maxAttempts);
     setDeadlines(*request, settings);
     return true;
 }
 
+bool Forwarder::admitKey(Request &request, const TrafficRoute &route)
+{
+    const KeyCheckResult result = m_keyCheck->check(request.request.headers, route.isPublic);
+    switch (result.verdict) {
+    case KeyVerdict::Missing:
+        refuse(request.responder, request.requestId, StatusUnauthorized,
+               std::chrono::milliseconds(0), "key-missing");
+        return false;
+    case KeyVerdict::Unknown:
+        refuse(request.responder, request.requestId, StatusUnauthorized,
+               std::chrono::milliseconds(0), "key-unknown");
+        return false;
+    case KeyVerdict::Valid:
+    case KeyVerdict::NotNeeded:
+        break;
+    }
+    m_keyCheck->rewriteHeaders(request.request.headers, result.workspace);
+    if (result.workspace != nullptr) {
+        request.workspace = result.workspace->name;
+        request.priority = result.workspace->priority.value_or(route.priority);
+    }
+    return true;
+}
+
 void Forwarder::setDeadlines(Request &request, const TrafficRoute &route)
 {
     std::chrono::milliseconds timeout =
@@ -207,6 +234,7 @@
                        .service = request.service,
                        .version = "",
                        .callerService = m_options.callerService,
+                       .workspace = request.workspace,
                        .priority = request.priority,
                        .idempotent = request.idempotent,
                        .isCallerRetry = request.isCallerRetry,
--- a/modules/forwarding/forwarder.h
+++ b/modules/forwarding/forwarder.h
@@ -16,6 +16,7 @@
 #include "modules/forwarding/traffic_metrics.h"
 #include "modules/forwarding/version_policy.h"
 #include "modules/traffic/route_table.h"
+#include "modules/workspace/key_check.h"
 #include "servers/header_names.h"
 #include "servers/http_server.h"
 
@@ -81,6 +82,7 @@
         std::string requestId;
         std::string route;
         std::string service;
+        std::string workspace; ///< Name of the caller's workspace; empty if there is none.
         VersionChoice version;
         std::uint32_t priority = 0;
         std::uint32_t maxAttempts = 1;
@@ -116,6 +118,7 @@
     OwnerSelector m_selector;
     ServiceRetryBudgets m_budgets;
     RouteTable *m_routes = nullptr;
+    const KeyCheck *m_keyCheck = nullptr;
     /** Longest deadline that callers have sent, by route. */
     std::unordered_map<std::string, std::chrono::milliseconds> m_longestDeadline;
     /** Mean response times in milliseconds. */
@@ -132,6 +135,11 @@
      * refused, and false is returned.
      */
     bool admit(const RequestPointer &request);
+    /**
+     * Checks the workspace key of a request, removes it and applies the workspace's settings. A
+     * request that may not run is refused, and false is returned.
+     */
+    bool admitKey(Request &request, const TrafficRoute &route);
     void setDeadlines(Request &request, const TrafficRoute &route);
     OwnerQuery ownerQuery(const Request &request) const;
     std::optional<OwnerCandidate> chooseOwner(Request &request);
@@ -169,6 +177,8 @@
 
     /** Sets the route table, which is not owned. Without one, every request is refused. */
     void setRoutes(RouteTable *routes) { m_routes = routes; }
+    /** Sets the check of workspace keys, which is not owned; it applies while it is enabled. */
+    void setKeyCheck(const KeyCheck *keyCheck) { m_keyCheck = keyCheck; }
     /** Sets the number of nodes that share the operator's retry limits. */
     void setNodeCount(std::size_t nodeCount) { m_budgets.setNodeCount(nodeCount); }
     /** Forwards one request and answers it through the responder. */
--- a/modules/forwarding/tests/test_forwarder.cpp
+++ b/modules/forwarding/tests/test_forwarder.cpp
@@ -2,6 +2,7 @@
 
 #include <optional>
 
+#include "core/text.h"
 #include "modules/forwarding/forwarder.h"
 #include "tests/support/fake_link_hub.h"
 
@@ -11,7 +12,11 @@
 
 namespace {
 
-const HeaderNames headerNames{.requestId = "Id", .deadline = "Left", .retryAfter = "Retry-After"};
+const HeaderNames headerNames{.requestId = "Id",
+                              .deadline = "Left",
+                              .retryAfter = "Retry-After",
+                              .workspaceKey = "Key",
+                              .workspace = "Workspace"};
 
 /** An owner that returns the answers set by the test. */
 class ScriptedOwner final : public WorkHandler
@@ -122,10 +127,13 @@
         forwarder.setRoutes(&routes);
     }
 
-    std::shared_ptr<CapturedAnswer> send(const std::string &target)
+    std::shared_ptr<CapturedAnswer> send(const std::string &target,
+                                         const std::vector<HttpHeader> &moreHeaders = {})
     {
         const std::shared_ptr<CapturedAnswer> answer = std::make_shared<CapturedAnswer>();
-        forwarder.forward({.target = target, .headers = {{"Host", "h"}, {"Id", "r1"}}}, answer);
+        HttpRequest request{.target = target, .headers = {{"Host", "h"}, {"Id", "r1"}}};
+        request.headers.insert(request.headers.end(), moreHeaders.begin(), moreHeaders.end());
+        forwarder.forward(std::move(request), answer);
         return answer;
     }
     /** Leaves only the local owner. */
@@ -444,4 +452,154 @@
     CHECK(bench.remoteOwner.requests.size() == 1);
 }
 
+namespace {
+
+/** A forwarder with the workspaces "gold" (priority 0) and "plain", and one public route. */
+struct WorkspaceBench : public ForwarderBench
+{
+    KeyCheck keyCheck{headerNames};
+
+    WorkspaceBench()
+    {
+        TrafficRoute open = route("open", "/open/", true);
+        open.isPublic = true;
+        TrafficRoute read = route("read", "/read/", true);
+        read.priority = 3;
+        routes = RouteTable(TrafficConfig{.routes = {open, read}}, 1);
+        setWorkspaces({{.name = "gold", .keys = {"g1", "g2"}, .priority = 0},
+                       {.name = "plain", .keys = {"p1"}}});
+        forwarder.setKeyCheck(&keyCheck);
+    }
+    void setWorkspaces(const std::vector<Workspace> &workspaces)
+    {
+        keyCheck.setWorkspaces(workspaces);
+    }
+    /** Returns the only request that reached an owner, by whatever way. */
+    WorkRequest onlyRequest() const
+    {
+        REQUIRE(attempts() == 1);
+        return local.requests.empty() ? remoteOwner.requests.front() : local.requests.front();
+    }
+};
+
+std::size_t countHeaders(const WorkRequest &work, std::string_view name)
+{
+    return static_cast<std::size_t>(std::count_if(
+            work.request.headers.begin(), work.request.headers.end(),
+            [name](const HttpHeader &header) { return equalsIgnoreCase(header.name, name); }));
+}
+
+} // namespace
+
+// Guards against requests that run although their key is in no configuration.
+TEST_CASE("a request with a missing, unknown or withdrawn key is answered with 401 and not sent")
+{
+    WorkspaceBench bench;
+    CHECK(bench.send("/read/1")->response->status == 401);
+    CHECK(bench.send("/read/1", {{"Key", ""}})->response->status == 401);
+    CHECK(bench.send("/read/1", {{"Key", "other"}})->response->status == 401);
+    CHECK(bench.send("/read/1", {{"Key", "g1, p1"}})->response->status == 401);
+    CHECK(bench.send("/read/1", {{"Key", "g1"}, {"Key", "p1"}})->response->status == 401);
+    CHECK(bench.send("/read/1", {{"Workspace", "gold"}})->response->status == 401);
+    bench.setWorkspaces({{.name = "gold", .keys = {"g2"}}});
+    CHECK(bench.send("/read/1", {{"Key", "g1"}})->response->status == 401);
+    bench.setWorkspaces({});
+    CHECK(bench.send("/read/1", {{"Key", "g2"}})->response->status == 401);
+    bench.timers.advance(milliseconds(20));
+    CHECK(bench.attempts() == 0);
+    CHECK(bench.forwarder.openRequests() == 0);
+}
+
+// Guards against a 401 from a node that cannot know whether a key is valid.
+TEST_CASE("a node without a configuration answers a keyed request with 503")
+{
+    WorkspaceBench bench;
+    bench.forwarder.setRoutes(nullptr);
+    CHECK(bench.send("/read/1", {{"Key", "g1"}})->response->status == 503);
+    CHECK(bench.send("/read/1")->response->status == 503);
+}
+
+// Guards against backend servers that see a key, or a workspace that the caller chose.
+TEST_CASE("an owner receives the workspace of the key, and never a key or a caller's workspace")
+{
+    WorkspaceBench bench;
+    const bool overLink = GENERATE(false, true);
+    if (overLink)
+        bench.local.state.availability = BackendAvailability::Draining;
+    else
+        bench.drainRemoteOwner();
+    bench.send(
+            "/read/1",
+            {{"workspace", "plain"}, {"KEY", "g2"}, {"Workspace", "other"}, {"X-Other", "kept"}});
+    bench.timers.advance(milliseconds(20));
+    const WorkRequest work = bench.onlyRequest();
+    CHECK(bench.local.requests.empty() == overLink);
+    CHECK(work.workspace == "gold");
+    CHECK(countHeaders(work, "key") == 0);
+    CHECK(countHeaders(work, "workspace") == 1);
+    CHECK(findHeader(work.request.headers, "Workspace") == "gold");
+    CHECK(findHeader(work.request.headers, "X-Other") == "kept");
+}
+
+// Guards against calls of backend servers that are refused, as they carry no key, and against
+// public requests that reach a backend server with a key or a workspace that nothing proves.
+TEST_CASE("a public route needs no key, and the workspace is set only if the key is valid")
+{
+    WorkspaceBench bench;
+    bench.drainRemoteOwner();
+    const std::string key = GENERATE("", "other", "p1");
+    std::vector<HttpHeader> headers{{"Workspace", "gold"}};
+    if (!key.empty())
+        headers.push_back({"Key", key});
+    bench.send("/open/1", headers);
+    bench.timers.advance(milliseconds(20));
+    const WorkRequest work = bench.onlyRequest();
+    CHECK(countHeaders(work, "key") == 0);
+    CHECK(countHeaders(work, "workspace") == (key == "p1" ? 1 : 0));
+    CHECK(work.workspace == (key == "p1" ? "plain" : ""));
+}
+
+// Guards against urgent workspaces that wait behind others.
+TEST_CASE("a workspace's priority takes precedence over the route's")
+{
+    WorkspaceBench bench;
+    bench.drainRemoteOwner();
+    bench.send("/read/1", {{"Key", "g1"}});
+    bench.send("/read/1", {{"Key", "p1"}});
+    REQUIRE(bench.local.requests.size() == 2);
+    CHECK(bench.local.requests[0].priority == 0);
+    CHECK(bench.local.requests[1].priority == 3);
+}
+
+// Guards against deployments without workspaces in which headers with these names get lost.
+TEST_CASE("without workspaces in the configuration both headers are ordinary ones")
+{
+    WorkspaceBench bench;
+    bench.drainRemoteOwner();
+    bench.keyCheck.setWorkspaces(std::nullopt);
+    bench.send("/read/1", {{"Key", "any"}, {"Workspace", "mine"}});
+    const WorkRequest work = bench.onlyRequest();
+    CHECK(findHeader(work.request.headers, "Key") == "any");
+    CHECK(findHeader(work.request.headers, "Workspace") == "mine");
+    CHECK(work.workspace.empty());
+}
+
+// Guards against retries of a request that was accepted and now fail, as its key is checked again,
+// and against such retries that contain the key.
+TEST_CASE("a key that is withdrawn after its request was accepted does not end the request")
+{
+    WorkspaceBench bench;
+    bench.scriptBoth(overloaded);
+    bench.local.answers.clear(); // The local owner queues the request.
+    bench.drainRemoteOwner();
+    const auto answer = bench.send("/read/1", {{"Key", "p1"}});
+    REQUIRE(bench.local.openCallbacks.size() == 1);
+    bench.setWorkspaces({{.name = "gold", .keys = {"g1"}}});
+    CHECK_FALSE(answer->response.has_value());
+    CHECK(bench.send("/read/2", {{"Key", "p1"}})->response->status == 401);
+    bench.local.openCallbacks.front()(done(200));
+    CHECK(answer->response->status == 200);
+    CHECK(bench.local.requests.front().workspace == "plain");
+}
+
 } // namespace jacinthshift
--- a/modules/traffic/traffic_config.h
+++ b/modules/traffic/traffic_config.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,7 @@
     std::string host;
     std::string prefix; ///< Begins and ends with a slash.
     bool idempotent = false;
+    bool isPublic = false; ///< Requests need no workspace key.
     /** Maximum time until the caller is answered; zero for the default. */
     std::chrono::milliseconds timeout{0};
     /** Time after which a response loses most of its use; zero if not configured. */
@@ -50,6 +52,15 @@
     std::chrono::milliseconds idleTimeout{15'000};  ///< Idle connections are closed after this.
 };
 
+/** A customer of the deployment. */
+struct Workspace
+{
+    std::string name;
+    std::vector<std::string> keys; ///< Each identifies the workspace in requests.
+    /** Priority of its requests in place of the route's; 0 is the most urgent. */
+    std::optional<std::uint32_t> priority;
+};
+
 /** The operator's complete traffic configuration, at one version. */
 struct TrafficConfig
 {
@@ -57,6 +68,8 @@
     std::vector<TrafficRoute> routes;
     std::map<std::string, ServicePolicy> services;
     CallerLimits limits;
+    /** Absent if requests carry no workspace keys. */
+    std::optional<std::vector<Workspace>> workspaces;
 };
 
 /** The operator's request to move a service to another version of its software. */
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -145,6 +145,7 @@
     StoreRolloutRegister rolloutRegister;
     RolloutController rollouts;
     TrafficMetrics metrics;
+    KeyCheck keyCheck;
     Forwarder forwarder;
     OperatorTable table;
     TableFollower follower;
@@ -255,6 +256,7 @@
                                         .randomSeed = randomSeed,
                                         .canaryShare = settings.canaryShare * 0.6},
                network, timers, rolloutRegister, owner)
+    , keyCheck(wire::headerNames())
     , forwarder(forwarderOptions(settings, randomSeed), timers, network, remoteCallClient, owner,
                 rollouts, metrics)
     , follower(TableFollowerOptions{.table = wire::OperatorTable}, storeClient, timers, table)
@@ -267,6 +269,7 @@
     , controlServer(HttpServerOptions{.serveClosedCallers = true})
     , metricsServer(HttpServerOptions{.serveClosedCallers = true})
 {
+    forwarder.setKeyCheck(&keyCheck);
     network.addObserver(*this);
     table.setListener([this](const KeyedRecord &record) { handleOperatorRecord(record); });
 }
@@ -375,6 +378,7 @@
     config = std::move(newConfig);
     hasConfig = true;
     routes = RouteTable(config, randomSeed);
+    keyCheck.setWorkspaces(config.workspaces);
     forwarder.setRoutes(&routes);
     callerServer.setOptions(callerServerOptions(settings, config.limits));
     const auto policy = config.services.find(settings.service);
--- a/servers/header_names.h
+++ b/servers/header_names.h
@@ -20,6 +20,8 @@
     std::string requestRateLimit; ///< Requests per second that the backend server takes from all.
     std::string leaving;          ///< "1" in all responses of a backend server that shuts down.
     std::string retryAfter;       ///< After how many seconds a rejected caller may retry.
+    std::string workspaceKey;     ///< The key by which a caller proves its workspace.
+    std::string workspace;        ///< The name of the caller's workspace, set by its node.
 };
 
 } // namespace jacinthshift
