Layer check: escape the quote in a platform name

The unescaped quote before /usage ended the string literal, so the script stopped with a syntax error and checked nothing. It is escaped; the check passes on all files again.

--- a/scripts/check_layers.py
+++ b/scripts/check_layers.py
@@ -18,7 +18,7 @@
 PLATFORM_NAMES = re.compile(
     r"(?<![\w-])Deadline-Ms|Target-Instance|Caller-Service|Not-Executed|Server-Seal|Server-Load|"
     r"Instance-Id|Cold-Ms|keyed\.|/-/|pathPrefix|trafficSplit|routeType|coldRemainingS|"
-    r"targetVersion\"|heartbeatAddr|in_progress|rolled_back|non_idempotent|sidecar|Api-Key|(?<![\w-])Tenant|apiKeys|Duty-Holder|Fencing-Token|Store-Era|"/usage|usage_report")
+    r"targetVersion\"|heartbeatAddr|in_progress|rolled_back|non_idempotent|sidecar|Api-Key|(?<![\w-])Tenant|apiKeys|Duty-Holder|Fencing-Token|Store-Era|\"/usage|usage_report")
 INCLUDE = re.compile(r'^#include "([a-z_]+)/', re.MULTILINE)
 
 
