Owner: learn the work of routes and report remaining work, speed and pace

Senders compared owners by a mean service time over the last ten or so requests of all routes. One of the rare runs that take seven times as long distorted it, and counts of requests do not tell how much work is left.

CostModel learns the work of each route and workspace, normalised by the pace that the backend server sends in its load header, with rare long runs capped and a high quantile. RemainingWork sums the expected rest of the open requests. RunCosts joins them for BackendOwner. BackendStatus and BackendLoad carry the remaining work, the usual time of a run at normal pace (the speed) and the pace, at the end of their encodings. Without a load header, nothing is reported; the pace is reported only where the header has the fourth figure.

No decision uses the figures yet.

--- a/modules/fleet/call_server.cpp
+++ b/modules/fleet/call_server.cpp
@@ -135,7 +135,10 @@
                                        .serviceTime = status.serviceTime,
                                        .failuresPerThousand = status.failuresPerThousand,
                                        .requestRateLimit = status.requestRateLimit,
-                                       .responseBacklog = responseBacklog()}};
+                                       .responseBacklog = responseBacklog(),
+                                       .remainingWork = status.remainingWork,
+                                       .normalRunTime = status.normalRunTime,
+                                       .pacePercent = status.pacePercent}};
     if (result.response.body.size() < m_options.budget.largeResponseBytes) {
         m_network.send(key.node, message);
         return;
--- a/modules/fleet/fleet_network.cpp
+++ b/modules/fleet/fleet_network.cpp
@@ -463,6 +463,9 @@
     backend.failuresPerThousand = load.failuresPerThousand;
     backend.requestRateLimit = load.requestRateLimit;
     backend.responseBacklog = load.responseBacklog;
+    backend.remainingWork = load.remainingWork;
+    backend.normalRunTime = load.normalRunTime;
+    backend.pacePercent = load.pacePercent;
     peer.statusReceivedAt = m_timers.now();
 }
 
--- a/modules/fleet/message_codec.cpp
+++ b/modules/fleet/message_codec.cpp
@@ -105,7 +105,10 @@
             status.requestRateLimit,
             status.startedAt,
             status.leaving,
-            status.responseBacklog.count()};
+            status.responseBacklog.count(),
+            status.remainingWork.count(),
+            status.normalRunTime.count(),
+            status.pacePercent};
 }
 
 BackendStatus decodeBackend(const json &source)
@@ -125,7 +128,10 @@
                          .failuresPerThousand = source.at(9),
                          .braked = source.at(10),
                          .requestRateLimit = source.at(11),
-                         .responseBacklog = decodeMilliseconds(source.at(14))};
+                         .responseBacklog = decodeMilliseconds(source.at(14)),
+                         .remainingWork = decodeMilliseconds(source.at(15)),
+                         .normalRunTime = decodeMilliseconds(source.at(16)),
+                         .pacePercent = source.at(17)};
 }
 
 json encodePage(const KeyedPage &page)
@@ -252,7 +258,10 @@
             message.load.requestRateLimit,
             message.load.responseBacklog.count(),
             message.followingBodyBytes,
-            message.callerProcess};
+            message.callerProcess,
+            message.load.remainingWork.count(),
+            message.load.normalRunTime.count(),
+            message.load.pacePercent};
 }
 
 void decode(const json &source, WorkResultMessage &message)
@@ -276,6 +285,9 @@
     message.load.responseBacklog = decodeMilliseconds(source.at(15));
     source.at(16).get_to(message.followingBodyBytes);
     source.at(17).get_to(message.callerProcess);
+    message.load.remainingWork = decodeMilliseconds(source.at(18));
+    message.load.normalRunTime = decodeMilliseconds(source.at(19));
+    source.at(20).get_to(message.load.pacePercent);
 }
 
 json encode(const ResponsePartMessage &message)
--- a/modules/fleet/messages.h
+++ b/modules/fleet/messages.h
@@ -76,6 +76,12 @@
     double requestRateLimit = 0.0; ///< Requests per second that it asked for; zero for no limit.
     /** Until the VM's link has sent the large responses that it is committed to. */
     std::chrono::milliseconds responseBacklog{0};
+    /** Expected time left of all running and queued requests together; see normalRunTime. */
+    std::chrono::milliseconds remainingWork{0};
+    /** Usual time of a run at its normal pace; zero without information about costs. */
+    std::chrono::milliseconds normalRunTime{0};
+    /** How long work takes now, in percent of normal; zero if the backend server does not tell. */
+    std::uint32_t pacePercent = 0;
 };
 
 /** A node's state, sent when it changes and as a heartbeat. */
@@ -158,6 +164,9 @@
     std::uint32_t failuresPerThousand = 0;
     double requestRateLimit = 0.0;
     std::chrono::milliseconds responseBacklog{0};
+    std::chrono::milliseconds remainingWork{0};
+    std::chrono::milliseconds normalRunTime{0};
+    std::uint32_t pacePercent = 0;
 };
 
 /** The result of a call, with the current load of the backend server. */
--- a/modules/fleet/tests/test_fleet_codec.cpp
+++ b/modules/fleet/tests/test_fleet_codec.cpp
@@ -69,6 +69,30 @@
     }
 }
 
+// Guards against costs that get lost between the owner and the senders.
+TEST_CASE("the codec preserves the costs in a status and in a result")
+{
+    const StatusMessage status{.backend = {.remainingWork = std::chrono::milliseconds(3'000),
+                                           .normalRunTime = std::chrono::milliseconds(250),
+                                           .pacePercent = 140}};
+    const absl::StatusOr<FleetMessage> readStatus = decodeFleetMessage(encodeFleetMessage(status));
+    REQUIRE(readStatus.ok());
+    const BackendStatus &backend = std::get<StatusMessage>(*readStatus).backend;
+    CHECK(backend.remainingWork == std::chrono::milliseconds(3'000));
+    CHECK(backend.normalRunTime == std::chrono::milliseconds(250));
+    CHECK(backend.pacePercent == 140);
+    const WorkResultMessage result{.call = 1,
+                                   .load = {.remainingWork = std::chrono::milliseconds(70),
+                                            .normalRunTime = std::chrono::milliseconds(60),
+                                            .pacePercent = 50}};
+    const absl::StatusOr<FleetMessage> readResult = decodeFleetMessage(encodeFleetMessage(result));
+    REQUIRE(readResult.ok());
+    const BackendLoad &load = std::get<WorkResultMessage>(*readResult).load;
+    CHECK(load.remainingWork == std::chrono::milliseconds(70));
+    CHECK(load.normalRunTime == std::chrono::milliseconds(60));
+    CHECK(load.pacePercent == 50);
+}
+
 TEST_CASE("packed records are restored unchanged and damaged ones are rejected")
 {
     const KeyedPage page{.records = {{"k", std::string("v\0\xff", 3), 3}}, .endOffset = 4};
--- a/modules/owner/backend_owner.cpp
+++ b/modules/owner/backend_owner.cpp
@@ -74,6 +74,7 @@
     if (outcome == RegistrationOutcome::NewLifetime) {
         ++m_lifetime;
         m_rateLimit.reset();
+        m_costs.reset();
         m_evidence.clear();
         m_recentFailures.reset();
         m_recentStarts.clear();
@@ -246,6 +247,7 @@
         m_hasAnswer = true;
         updateConcurrencyLimit();
     }
+    m_costs.recordLoad(findHeader(headers, m_options.headers.load), m_timers.now());
     recordRateLimit(findHeader(headers, m_options.headers.requestRateLimit));
     if (findHeader(headers, m_options.headers.leaving) == "1")
         recordLeaving();
@@ -313,6 +315,7 @@
     status.serviceTime = m_admission.meanServiceTime();
     status.failuresPerThousand = m_recentFailures.perThousand(m_timers.now());
     status.braked = m_braked;
+    m_costs.fill(status, m_timers.now());
     return status;
 }
 
@@ -395,6 +398,7 @@
                             .fingerprint = fingerprint,
                             .arrivedAt = now,
                             .deadline = deadline});
+    m_costs.added(id, workRequest.route, workRequest.workspace);
     if (decision.kind == AdmissionDecision::Kind::Start)
         start(id);
     else if (!m_queueTimer.isActive())
@@ -457,6 +461,7 @@
     const BackendHeartbeat &backend = *m_registration.current();
     m_recentStarts.record(now);
     work.startedAt = now;
+    m_costs.started(id, now);
     work.backend = backend.id;
     work.lifetime = m_lifetime;
     const std::chrono::milliseconds timeLeft =
@@ -491,6 +496,10 @@
     const bool ran = outcome.verdict != Verdict::NotRun;
     m_admission.finished(work.request.route,
                          isSample && ran ? serviceTime : std::chrono::microseconds(0), now);
+    // A failed run may have ended early, at its first failed call.
+    if (outcome.verdict == Verdict::Done && outcome.response.status < FirstServerError
+        && work.lifetime == m_lifetime)
+        m_costs.recordRun(work.request.route, work.request.workspace, serviceTime, now);
     recordEvidence(work, outcome, serviceTime);
     finish(id, outcome);
     processQueue();
@@ -671,6 +680,7 @@
 {
     Work taken = std::move(work->second);
     m_heldBodyBytes -= taken.request.request.body.size();
+    m_costs.ended(work->first);
     m_work.erase(work);
     return taken;
 }
--- a/modules/owner/backend_owner.h
+++ b/modules/owner/backend_owner.h
@@ -15,6 +15,7 @@
 #include "modules/owner/failure_rate.h"
 #include "modules/owner/recent_starts.h"
 #include "modules/owner/request_rate_limit.h"
+#include "modules/owner/run_costs.h"
 #include "modules/traffic/traffic_config.h"
 #include "servers/header_names.h"
 #include "servers/http_client.h"
@@ -127,6 +128,7 @@
     BackendRegistration m_registration;
     AdmissionQueue m_admission;
     RequestRateLimit m_rateLimit;
+    RunCosts m_costs; ///< Of the current backend server.
     ServicePolicy m_policy;
     std::unordered_map<std::uint64_t, Work> m_work;
     std::uint64_t m_lastWorkId = 0;
--- a/node/mesh_metrics.cpp
+++ b/node/mesh_metrics.cpp
@@ -56,6 +56,9 @@
     appendMetric("backend_cold", backend.startsPerSecond > 0 ? 1 : 0);
     appendMetric("backend_waiting", backend.queued);
     appendMetric("backend_service_ms", backend.serviceTime.count());
+    appendMetric("backend_remaining_work_ms", backend.remainingWork.count());
+    appendMetric("backend_normal_run_ms", backend.normalRunTime.count());
+    appendMetric("backend_pace_percent", backend.pacePercent);
     appendMetric("backend_failures_per_thousand", backend.failuresPerThousand);
     appendLinkMetrics(text, network);
     const LogLosses losses = logLosses();
