Selector: choose owners by reported costs where all compared ones report them

The lowest expected time made senders with equally old figures choose the same owner, and the expected time came from counts and a mean over few runs.

Where all compared warm owners have reported costs, OwnerEstimate computes run time (speed, pace, route) and wait (remaining work per slot). The pace and the load count less as they age. If none is fast enough, the lowest cost decides. Otherwise the choice is made as before.

--- a/modules/forwarding/forwarder.cpp
+++ b/modules/forwarding/forwarder.cpp
@@ -240,6 +240,10 @@
                                   {"running", owner->backend.running},
                                   {"queued", owner->backend.queued},
                                   {"limit", owner->backend.concurrencyLimit},
+                                  {"work_ms", owner->backend.remainingWork.count()},
+                                  {"run_ms", owner->backend.normalRunTime.count()},
+                                  {"pace", owner->backend.pacePercent},
+                                  {"age_ms", owner->statusAge.count()},
                                   {"left_ms", work.timeLeft.count()}});
     const std::weak_ptr<Request> weak = request;
     const auto callback = [this, weak](const WorkResult &result) {
--- a/modules/forwarding/owner_directory.cpp
+++ b/modules/forwarding/owner_directory.cpp
@@ -93,15 +93,19 @@
                                                          bool anyVersion) const
 {
     std::vector<OwnerCandidate> found;
+    const SteadyTime now = m_timers.now();
     forEachNode([&](const Entry &entry) {
         if (exclusion(entry, query, anyVersion) != Exclusion::None)
             return;
         const bool local = entry.peer == nullptr;
-        found.push_back(
-                OwnerCandidate{.node = entry.node,
-                               .sameDomain = local || m_network.isInOwnDomain(*entry.peer),
-                               .backend = entry.backend,
-                               .outstanding = local ? 0 : m_remote.outstanding(entry.node)});
+        found.push_back(OwnerCandidate{
+                .node = entry.node,
+                .sameDomain = local || m_network.isInOwnDomain(*entry.peer),
+                .backend = entry.backend,
+                .outstanding = local ? 0 : m_remote.outstanding(entry.node),
+                .statusAge = local ? std::chrono::milliseconds(0)
+                                   : std::chrono::duration_cast<std::chrono::milliseconds>(
+                                           now - entry.peer->statusReceivedAt)});
     });
     return found;
 }
--- a/modules/forwarding/owner_selector.cpp
+++ b/modules/forwarding/owner_selector.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 #include <utility>
 
 namespace jacinthshift {
@@ -93,6 +94,107 @@
     return chosen;
 }
 
+OwnerSelector::PricedGroup OwnerSelector::priceGroup(const std::vector<OwnerCandidate> &candidates,
+                                                     const std::vector<std::size_t> &sampled,
+                                                     bool sameDomain,
+                                                     const SelectionContext &context) const
+{
+    PricedGroup group;
+    double waits = 0.0;
+    for (const std::size_t i : sampled) {
+        const OwnerCandidate &candidate = candidates[i];
+        if (candidate.sameDomain != sameDomain)
+            continue;
+        const OwnerEstimate estimate =
+                estimateOwner(OwnerFigures{.backend = candidate.backend,
+                                           .age = candidate.statusAge,
+                                           .outstanding = candidate.outstanding,
+                                           .routeFactor = context.routeFactor});
+        waits += estimate.wait;
+        group.utilisation += estimate.utilisation;
+        group.owners.push_back(Priced{.index = i, .estimate = estimate});
+    }
+    if (group.owners.empty())
+        return group;
+    const auto count = static_cast<double>(group.owners.size());
+    group.utilisation /= count;
+    const double targetTimeLeft = static_cast<double>(context.targetTimeLeft.count());
+    for (Priced &owner : group.owners) {
+        const OwnerEstimate &estimate = owner.estimate;
+        const BackendStatus &backend = candidates[owner.index].backend;
+        // While a figure ages, the owner becomes like the others: its requests end, and those of
+        // all senders take their place.
+        const double meanWait = waits / count;
+        double time = meanWait + (estimate.wait - meanWait) * estimate.freshness + estimate.run;
+        if (estimate.utilisation > m_options.slowdownUtilisation) {
+            time += estimate.run * m_options.fullLoadPenalty
+                    * std::min(1.0, (estimate.utilisation - m_options.slowdownUtilisation)
+                                            / (1.0 - m_options.slowdownUtilisation));
+        }
+        if (context.largeResponse)
+            time = std::max(time, static_cast<double>(backend.responseBacklog.count()));
+        owner.expected = time
+                         + m_options.failureCost * targetTimeLeft * backend.failuresPerThousand
+                                   / PerThousand;
+        owner.expected = std::max(1.0, owner.expected);
+        if (owner.expected > m_options.fastEnoughFraction * targetTimeLeft)
+            continue;
+        // The slots that it has free, divided twice by the time: the rate at which it can take
+        // requests, and a preference for owners that leave a long run more of its deadline.
+        owner.weight = (estimate.freeSlots + 1.0) / (owner.expected * owner.expected);
+        group.inTimeWeight += owner.weight;
+    }
+    return group;
+}
+
+std::size_t OwnerSelector::drawByWeight(const PricedGroup &group)
+{
+    double rest = m_random.uniform() * group.inTimeWeight;
+    std::size_t chosen = group.owners.front().index;
+    for (const Priced &owner : group.owners) {
+        if (owner.weight <= 0.0)
+            continue;
+        chosen = owner.index;
+        rest -= owner.weight;
+        if (rest < 0.0)
+            break;
+    }
+    return chosen;
+}
+
+std::size_t OwnerSelector::chooseByCosts(const std::vector<OwnerCandidate> &candidates,
+                                         const std::vector<std::size_t> &sampled,
+                                         const SelectionContext &context)
+{
+    const PricedGroup own = priceGroup(candidates, sampled, true, context);
+    const PricedGroup others = priceGroup(candidates, sampled, false, context);
+    if (own.inTimeWeight > 0.0) {
+        // Requests move before queues form, the more the larger the difference is.
+        const double aboveSlowdown = own.utilisation - m_options.slowdownUtilisation;
+        const double difference = own.utilisation - others.utilisation;
+        const double lent = std::min({m_options.maxLentFraction, aboveSlowdown, difference / 2.0});
+        const bool lend = others.inTimeWeight > 0.0 && lent > 0.0 && m_random.uniform() < lent;
+        return drawByWeight(lend ? others : own);
+    }
+    if (others.inTimeWeight > 0.0)
+        return drawByWeight(others);
+    const double penalty =
+            m_options.otherDomainPenalty * static_cast<double>(context.targetTimeLeft.count());
+    std::size_t best = 0;
+    double lowest = std::numeric_limits<double>::max();
+    for (const PricedGroup *group : {&own, &others}) {
+        for (const Priced &owner : group->owners) {
+            const double total = owner.expected * (1.0 + m_options.noise * m_random.uniform())
+                                 + (group == &others ? penalty : 0.0);
+            if (total >= lowest)
+                continue;
+            best = owner.index;
+            lowest = total;
+        }
+    }
+    return best;
+}
+
 std::optional<std::size_t> OwnerSelector::choose(const std::vector<OwnerCandidate> &candidates,
                                                  const SelectionContext &context)
 {
@@ -101,7 +203,18 @@
     std::optional<std::size_t> bestCold;
     double lowestCost = 0.0;
     double lowestColdCost = 0.0;
-    for (const std::size_t i : sample(candidates)) {
+    const std::vector<std::size_t> sampled = sample(candidates);
+    std::vector<std::size_t> priced;
+    std::size_t warmCount = 0;
+    for (const std::size_t i : sampled) {
+        const BackendStatus &backend = candidates[i].backend;
+        if (backend.startsPerSecond > 0)
+            continue;
+        ++warmCount;
+        if (hasCosts(backend))
+            priced.push_back(i);
+    }
+    for (const std::size_t i : sampled) {
         const OwnerCandidate &candidate = candidates[i];
         const double candidateCost = cost(candidate, fallbackServiceTime, context);
         const bool cold = candidate.backend.startsPerSecond > 0;
@@ -112,6 +225,8 @@
         bestIndex = i;
         bestCost = candidateCost;
     }
+    if (!priced.empty() && priced.size() == warmCount)
+        best = chooseByCosts(candidates, priced, context);
     // A cold backend server receives a few requests to warm up; most go to the others, if any.
     if (best && bestCold
         && m_random.uniform() < m_options.coldChoiceWeight / static_cast<double>(candidates.size()))
--- a/modules/forwarding/owner_selector.h
+++ b/modules/forwarding/owner_selector.h
@@ -9,6 +9,7 @@
 
 #include "core/random.h"
 #include "modules/fleet/messages.h"
+#include "modules/forwarding/owner_estimate.h"
 
 namespace jacinthshift {
 
@@ -45,6 +46,12 @@
      * status tells them that it is full.
      */
     std::size_t sampleSize = 4;
+    /**
+     * Highest fraction of requests that a failure domain above slowdownUtilisation sends to less
+     * utilised ones although its own owners are still fast enough. Half of the difference evens
+     * out two domains; more would make the load swing between them.
+     */
+    double maxLentFraction = 0.0;
 };
 
 /** An owner that is eligible for a request. */
@@ -54,6 +61,7 @@
     bool sameDomain = false;
     BackendStatus backend;
     std::uint32_t outstanding = 0; ///< This node's calls that the owner has not answered yet.
+    std::chrono::milliseconds statusAge{0}; ///< Since the owner reported its status.
 };
 
 /** Properties of the request that affect the choice. */
@@ -64,9 +72,31 @@
     bool largeResponse = false; ///< The response has to wait for other large ones on the link.
 };
 
-/** Chooses the owner with the lowest cost: expected response time plus penalties. */
+/**
+ * Chooses the owner with the lowest cost: expected response time plus penalties.
+ *
+ * Where the owners have reported what runs cost, all that are fast enough for the caller share the
+ * requests in proportion to their free capacity, so that many senders with equally old figures do
+ * not send to the same one.
+ */
 class OwnerSelector
 {
+    /** An owner that has reported costs, and what a request there is expected to take. */
+    struct Priced
+    {
+        std::size_t index = 0;
+        OwnerEstimate estimate;
+        double expected = 0.0; ///< Response time in milliseconds, with the price of failures.
+        double weight = 0.0;   ///< Relative part of the requests.
+    };
+    /** Owners of the own failure domain, or those of the others. */
+    struct PricedGroup
+    {
+        std::vector<Priced> owners;
+        double utilisation = 0.0; ///< Mean of the owners.
+        double inTimeWeight = 0.0;
+    };
+
     OwnerSelectorOptions m_options;
     Random m_random;
 
@@ -84,6 +114,14 @@
     /** Returns the cost of a candidate in milliseconds. */
     double cost(const OwnerCandidate &candidate, double fallbackServiceTime,
                 const SelectionContext &context);
+    PricedGroup priceGroup(const std::vector<OwnerCandidate> &candidates,
+                           const std::vector<std::size_t> &sampled, bool sameDomain,
+                           const SelectionContext &context) const;
+    std::size_t drawByWeight(const PricedGroup &group);
+    /** Chooses among warm owners that have all reported costs. */
+    std::size_t chooseByCosts(const std::vector<OwnerCandidate> &candidates,
+                              const std::vector<std::size_t> &sampled,
+                              const SelectionContext &context);
 
 public:
     OwnerSelector(const OwnerSelectorOptions &options, std::uint64_t randomSeed)
