--- a/modules/fleet/message_codec.cpp
+++ b/modules/fleet/message_codec.cpp
@@ -283,7 +283,8 @@
     encodeFields(writer, status.availability, status.id, status.service, status.version,
                  status.concurrencyLimit, status.running, status.queued, status.startsPerSecond,
                  status.serviceTime, status.failuresPerThousand, status.braked,
-                 status.requestRateLimit, status.startedAt, status.leaving, status.responseBacklog);
+                 status.requestRateLimit, status.startedAt, status.leaving, status.responseBacklog,
+                 status.remainingWork, status.normalRunTime, status.pacePercent);
 }
 
 void decode(CborReader &reader, BackendStatus &status)
@@ -291,7 +292,8 @@
     decodeFields(reader, status.availability, status.id, status.service, status.version,
                  status.concurrencyLimit, status.running, status.queued, status.startsPerSecond,
                  status.serviceTime, status.failuresPerThousand, status.braked,
-                 status.requestRateLimit, status.startedAt, status.leaving, status.responseBacklog);
+                 status.requestRateLimit, status.startedAt, status.leaving, status.responseBacklog,
+                 status.remainingWork, status.normalRunTime, status.pacePercent);
 }
 
 void encode(CborWriter &writer, const KeyedRecord &record)
@@ -367,7 +369,7 @@
                  Bytes{result.response.body}, load.concurrencyLimit, load.running, load.queued,
                  load.startsPerSecond, load.serviceTime, load.failuresPerThousand,
                  load.requestRateLimit, load.responseBacklog, message.followingBodyBytes,
-                 message.callerProcess);
+                 message.callerProcess, load.remainingWork, load.normalRunTime, load.pacePercent);
 }
 
 void decode(CborReader &reader, WorkResultMessage &message)
@@ -379,7 +381,7 @@
                  Bytes{result.response.body}, load.concurrencyLimit, load.running, load.queued,
                  load.startsPerSecond, load.serviceTime, load.failuresPerThousand,
                  load.requestRateLimit, load.responseBacklog, message.followingBodyBytes,
-                 message.callerProcess);
+                 message.callerProcess, load.remainingWork, load.normalRunTime, load.pacePercent);
 }
 
 void encode(CborWriter &writer, const ResponsePartMessage &message)
