--- a/modules/fleet/tests/test_fleet_codec.cpp
+++ b/modules/fleet/tests/test_fleet_codec.cpp
@@ -219,67 +219,66 @@
     CHECK_FALSE(isDecoded("a:b"));
     CHECK_FALSE(isDecoded("a\nb:c\n"));
     CHECK_FALSE(isDecoded("\n"));
+}
 
-    // Guards against costs that get lost between the owner and the senders.
-    TEST_CASE("the codec preserves the costs in a status and in a result")
-    {
-        const StatusMessage status{.backend = {.remainingWork = std::chrono::milliseconds(3'000),
-                                               .normalRunTime = std::chrono::milliseconds(250),
-                                               .pacePercent = 140}};
-        const absl::StatusOr<FleetMessage> readStatus =
-                decodeFleetMessage(encodeFleetMessage(status));
-        REQUIRE(readStatus.ok());
-        const BackendStatus &backend = std::get<StatusMessage>(*readStatus).backend;
-        CHECK(backend.remainingWork == std::chrono::milliseconds(3'000));
-        CHECK(backend.normalRunTime == std::chrono::milliseconds(250));
-        CHECK(backend.pacePercent == 140);
-        const WorkResultMessage result{.call = 1,
-                                       .load = {.remainingWork = std::chrono::milliseconds(70),
-                                                .normalRunTime = std::chrono::milliseconds(60),
-                                                .pacePercent = 50}};
-        const absl::StatusOr<FleetMessage> readResult =
-                decodeFleetMessage(encodeFleetMessage(result));
-        REQUIRE(readResult.ok());
-        const BackendLoad &load = std::get<WorkResultMessage>(*readResult).load;
-        CHECK(load.remainingWork == std::chrono::milliseconds(70));
-        CHECK(load.normalRunTime == std::chrono::milliseconds(60));
-        CHECK(load.pacePercent == 50);
-    }
+// Guards against costs that get lost between the owner and the senders.
+TEST_CASE("the codec preserves the costs in a status and in a result")
+{
+    const StatusMessage status{.backend = {.remainingWork = std::chrono::milliseconds(3'000),
+                                           .normalRunTime = std::chrono::milliseconds(250),
+                                           .pacePercent = 140}};
+    const absl::StatusOr<FleetMessage> readStatus = decodeFleetMessage(encodeFleetMessage(status));
+    REQUIRE(readStatus.ok());
+    const BackendStatus &backend = std::get<StatusMessage>(*readStatus).backend;
+    CHECK(backend.remainingWork == std::chrono::milliseconds(3'000));
+    CHECK(backend.normalRunTime == std::chrono::milliseconds(250));
+    CHECK(backend.pacePercent == 140);
+    const WorkResultMessage result{.call = 1,
+                                   .load = {.remainingWork = std::chrono::milliseconds(70),
+                                            .normalRunTime = std::chrono::milliseconds(60),
+                                            .pacePercent = 50}};
+    const absl::StatusOr<FleetMessage> readResult = decodeFleetMessage(encodeFleetMessage(result));
+    REQUIRE(readResult.ok());
+    const BackendLoad &load = std::get<WorkResultMessage>(*readResult).load;
+    CHECK(load.remainingWork == std::chrono::milliseconds(70));
+    CHECK(load.normalRunTime == std::chrono::milliseconds(60));
+    CHECK(load.pacePercent == 50);
+}
 
-    TEST_CASE("packed records are restored unchanged and damaged ones are rejected")
-    {
-        const KeyedPage page{.records = {{"k", std::string("v\0\xff", 3), 3}}, .endOffset = 4};
-        const absl::StatusOr<KeyedPage> read = unpackPage(packPage(page));
-        REQUIRE(read.ok());
-        CHECK(read->endOffset == 4);
-        CHECK(read->records.at(0).value == page.records[0].value);
-        CHECK_FALSE(unpackPage("nonsense").ok());
-    }
+TEST_CASE("packed records are restored unchanged and damaged ones are rejected")
+{
+    const KeyedPage page{.records = {{"k", std::string("v\0\xff", 3), 3}}, .endOffset = 4};
+    const absl::StatusOr<KeyedPage> read = unpackPage(packPage(page));
+    REQUIRE(read.ok());
+    CHECK(read->endOffset == 4);
+    CHECK(read->records.at(0).value == page.records[0].value);
+    CHECK_FALSE(unpackPage("nonsense").ok());
+}
 
-    TEST_CASE("damaged frames are decoded or rejected with InvalidArgument, without a crash")
-    {
-        Random random(42);
-        const std::string frame = encodeFleetMessage(sampleCall());
-        for (int i = 0; i < 20'000; ++i) {
-            std::string damaged = frame;
-            for (std::uint64_t changes = 1 + random.below(4); changes > 0; --changes)
-                damaged[random.below(damaged.size())] = static_cast<char>(random.below(256));
-            damaged.resize(random.below(damaged.size() + 1));
-            const absl::StatusOr<FleetMessage> read = decodeFleetMessage(damaged);
-            if (!read.ok())
-                REQUIRE(absl::IsInvalidArgument(read.status()));
-        }
+TEST_CASE("damaged frames are decoded or rejected with InvalidArgument, without a crash")
+{
+    Random random(42);
+    const std::string frame = encodeFleetMessage(sampleCall());
+    for (int i = 0; i < 20'000; ++i) {
+        std::string damaged = frame;
+        for (std::uint64_t changes = 1 + random.below(4); changes > 0; --changes)
+            damaged[random.below(damaged.size())] = static_cast<char>(random.below(256));
+        damaged.resize(random.below(damaged.size() + 1));
+        const absl::StatusOr<FleetMessage> read = decodeFleetMessage(damaged);
+        if (!read.ok())
+            REQUIRE(absl::IsInvalidArgument(read.status()));
     }
+}
 
-    // Guards against one malformed frame of another node that ends the process: the library's
-    // decoder recurses, so deep nesting overflows its stack.
-    TEST_CASE("frames and pages that are nested without end are rejected")
-    {
-        for (const char opening : {'\x81', '\x9f', '\xa1', '\x7f'}) {
-            const std::string nested(1'000'000, opening);
-            CHECK_FALSE(decodeFleetMessage(nested).ok());
-            CHECK_FALSE(unpackPage(compressBytes(nested)).ok());
-        }
+// Guards against one malformed frame of another node that ends the process: the library's
+// decoder recurses, so deep nesting overflows its stack.
+TEST_CASE("frames and pages that are nested without end are rejected")
+{
+    for (const char opening : {'\x81', '\x9f', '\xa1', '\x7f'}) {
+        const std::string nested(1'000'000, opening);
+        CHECK_FALSE(decodeFleetMessage(nested).ok());
+        CHECK_FALSE(unpackPage(compressBytes(nested)).ok());
     }
+}
 
 } // namespace jacinthshift
