Test: random orders of events on a pipelined connection

Cause: the cases so far each have one order of sends, answers and stops. Change: 300 seeds of requests of both kinds, closing requests, malformed input, split sends, answers in any order and a stop of the node; checked are that each forwarded request gets its response in order, that only the last response closes, and that a request that must not be repeated is passed on alone.

--- a/drivers/tests/test_http_pipelining.cpp
+++ b/drivers/tests/test_http_pipelining.cpp
@@ -1,7 +1,9 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <array>
 #include <optional>
+#include <random>
 
 #include "drivers/beast/beast_http_server.h"
 #include "drivers/tcp/tcp_socket.h"
@@ -41,6 +43,7 @@
     std::vector<std::string> targets;
     std::vector<std::shared_ptr<HttpResponder>> responders;
     std::vector<std::string> cancelled;
+    std::size_t openBeforePayment = 0; ///< Requests open when one below /pay was passed on.
     bool answerAtOnce = false;
 
     explicit PipeliningFixture(const HttpServerOptions &options = pipeliningOptions())
@@ -50,6 +53,8 @@
                 listenAddress, [this](const HttpRequest &request,
                                       const std::shared_ptr<HttpResponder> &responder) {
                     targets.push_back(request.target);
+                    if (request.target.starts_with("/pay"))
+                        openBeforePayment += server.openRequests() - 1;
                     responders.push_back(responder);
                     responder->onCallerGone(
                             [this, target = request.target] { cancelled.push_back(target); });
@@ -629,4 +634,75 @@
     }
 }
 
+// Guards against orders of events that no other test has: each forwarded request gets its response.
+TEST_CASE("in random orders of events, each forwarded request gets its response in order")
+{
+    for (unsigned seed = 1; seed <= 300; ++seed) {
+        CAPTURE(seed);
+        std::mt19937 random(seed);
+        const auto oneIn = [&](unsigned count) {
+            return random() % count == 0;
+        };
+        PipeliningFixture fixture(
+                pipeliningOptions({.maxRequestsInFlight = 1 + random() % 6,
+                                   .maxBufferedResponseBytes = 1'000 + random() % 4'000}));
+        std::string bytes;
+        for (int number = 0; number < 12; ++number) {
+            const std::string name = std::to_string(number);
+            if (oneIn(4))
+                bytes += post("/pay/" + name, random() % 50);
+            else
+                bytes += get("/r/" + name, oneIn(20) ? "Connection: close\r\n" : "");
+            if (oneIn(40))
+                bytes += "nonsense\r\n\r\n";
+        }
+        PipeliningClient client("");
+        std::vector<std::size_t> open;
+        std::size_t sent = 0;
+        std::size_t seen = 0;
+        int quietSteps = 0;
+        while (quietSteps < 20) {
+            ++quietSteps;
+            if (sent < bytes.size() && !client.ended && oneIn(2)) {
+                const std::size_t size =
+                        std::min<std::size_t>(1 + random() % 200, bytes.size() - sent);
+                client.send(bytes.substr(sent, size));
+                sent += size;
+                quietSteps = 0;
+            }
+            if (!open.empty() && oneIn(2)) {
+                const std::size_t chosen = random() % open.size();
+                const std::size_t position = open[chosen];
+                open.erase(open.begin() + static_cast<std::ptrdiff_t>(chosen));
+                fixture.answer(position, random() % 500);
+                quietSteps = 0;
+            }
+            if (oneIn(100))
+                fixture.server.disableKeepAlive();
+            for (int iteration = 0; iteration < 3; ++iteration)
+                g_main_context_iteration(nullptr, FALSE);
+            for (; seen < fixture.targets.size(); ++seen) {
+                open.push_back(seen);
+                quietSteps = 0;
+            }
+        }
+        runUntil([&] {
+            return client.ended || client.responses().size() >= fixture.targets.size();
+        });
+        Texts answered;
+        const std::vector<PipeliningClient::Response> responses = client.responses();
+        for (std::size_t position = 0; position < responses.size(); ++position) {
+            const std::string &body = responses[position].body;
+            if (responses[position].status == 200)
+                answered.push_back(body.substr(0, body.find('.')));
+            CHECK((!responses[position].closes || position + 1 == responses.size()));
+        }
+        CHECK(answered == fixture.targets);
+        CHECK(fixture.openBeforePayment == 0);
+        CHECK(fixture.cancelled.empty());
+        CHECK(fixture.server.openRequests() == 0);
+        CHECK(fixture.server.bufferedResponseBytes() == 0);
+    }
+}
+
 } // namespace jacinthshift
