Test: checked access to the responses of a pipelining client

Cause: when a response is missing, the tests read behind the end of the vector instead of failing; seen with a server that was broken on purpose. Change: at() instead of []. Result: the test cases of responses, pipelining and malformed input pass.

--- a/drivers/tests/test_http_pipelining.cpp
+++ b/drivers/tests/test_http_pipelining.cpp
@@ -297,7 +297,7 @@
     CHECK(fixture.cancelled.empty());
     fixture.answer(0);
     runUntil([&] { return !client.responses().empty(); });
-    CHECK(client.bodies()[0] == "/pay");
+    CHECK(client.bodies().at(0) == "/pay");
 }
 
 // Guards against a forwarded request that its caller repeats, as its response is never sent.
@@ -315,8 +315,8 @@
         fixture.answer(0);
         runUntil([&] { return client.ended; });
         CHECK(client.bodies() == Texts{"/r/0", "/r/1"});
-        CHECK_FALSE(client.responses()[0].closes);
-        CHECK(client.responses()[1].closes);
+        CHECK_FALSE(client.responses().at(0).closes);
+        CHECK(client.responses().at(1).closes);
         CHECK(fixture.targets.size() == 2);
     }
     SECTION("the node stops")
@@ -330,11 +330,11 @@
         fixture.answer(0);
         settle();
         REQUIRE(client.responses().size() == 1);
-        CHECK_FALSE(client.responses()[0].closes);
+        CHECK_FALSE(client.responses().at(0).closes);
         fixture.answer(1);
         runUntil([&] { return client.ended; });
         CHECK(client.bodies() == Texts{"/r/0", "/r/1"});
-        CHECK(client.responses()[1].closes);
+        CHECK(client.responses().at(1).closes);
         CHECK(fixture.targets.size() == 2);
     }
     SECTION("the node stops and a request arrives behind one that may run ahead")
@@ -347,7 +347,7 @@
         fixture.answer(0);
         runUntil([&] { return client.ended; });
         CHECK(client.bodies() == Texts{"/r/0"});
-        CHECK(client.responses()[0].closes);
+        CHECK(client.responses().at(0).closes);
         CHECK(fixture.targets.size() == 1);
     }
     SECTION("there are too many connections")
@@ -376,7 +376,7 @@
     fixture.answer(0, 300'000);
     runUntil([&] { return client.ended; });
     REQUIRE(client.responses().size() == 1);
-    CHECK(client.responses()[0].body.size() == 300'004);
+    CHECK(client.responses().at(0).body.size() == 300'004);
     CHECK(fixture.targets.size() == 1);
 }
 
@@ -433,7 +433,7 @@
         fixture.answer(0);
         runUntil([&] { return client.ended; });
         REQUIRE(client.responses().size() == 3);
-        CHECK(client.responses()[2].status == 408);
+        CHECK(client.responses().at(2).status == 408);
     }
 }
 
