Periodic timers share their wake-ups

Cause: each of a node's timers of 50 and 100 ms woke the loop at its own time, with a system call and a turn of the loop each. Change: EpollLoop fires periodic timers at multiples of their period since its start, at least half a period apart. Result: a test that fails without the change.

--- a/drivers/epoll/epoll_loop.cpp
+++ b/drivers/epoll/epoll_loop.cpp
@@ -35,8 +35,9 @@
 
 EpollLoop::EpollLoop()
     : m_epollDescriptor(epoll_create1(EPOLL_CLOEXEC))
-    , m_now(std::chrono::steady_clock::now())
-    , m_collectedAt(m_now)
+    , m_startedAt(std::chrono::steady_clock::now())
+    , m_now(m_startedAt)
+    , m_collectedAt(m_startedAt)
 {
     static GSourceFuncs functions = {prepare, check, dispatch, nullptr, nullptr, nullptr};
     GSource *source = g_source_new(&functions, sizeof(LoopSource));
@@ -217,7 +218,7 @@
         callback();
         return;
     }
-    found->second.due = m_now + found->second.period;
+    found->second.due = nextPeriodicDue(found->second.period);
     m_timerQueue.emplace(std::pair(found->second.due, id), id);
     // The callback may stop its own timer, so a copy is called.
     const Callback callback = found->second.callback;
@@ -256,19 +257,26 @@
 
 TimerId EpollLoop::startOnce(std::chrono::milliseconds delay, Callback callback)
 {
-    return start(delay, std::chrono::milliseconds(0), std::move(callback));
+    return start(now() + std::max(delay, std::chrono::milliseconds(0)),
+                 std::chrono::milliseconds(0), std::move(callback));
 }
 
 TimerId EpollLoop::startPeriodic(std::chrono::milliseconds period, Callback callback)
 {
-    return start(period, std::max(period, std::chrono::milliseconds(1)), std::move(callback));
+    const std::chrono::milliseconds positive = std::max(period, std::chrono::milliseconds(1));
+    return start(nextPeriodicDue(positive), positive, std::move(callback));
 }
 
-TimerId EpollLoop::start(std::chrono::milliseconds delay, std::chrono::milliseconds period,
-                         Callback callback)
+SteadyTime EpollLoop::nextPeriodicDue(std::chrono::milliseconds period) const
+{
+    const SteadyTime::duration length = period;
+    const SteadyTime::duration earliest = now() + length / 2 - m_startedAt;
+    return m_startedAt + (earliest + length - SteadyTime::duration(1)) / length * length;
+}
+
+TimerId EpollLoop::start(SteadyTime due, std::chrono::milliseconds period, Callback callback)
 {
     const std::uint64_t id = ++m_lastTimerId;
-    const SteadyTime due = now() + std::max(delay, std::chrono::milliseconds(0));
     m_timerEntries.emplace(id, TimerEntry{due, period, std::move(callback)});
     m_timerQueue.emplace(std::pair(due, id), id);
     return static_cast<TimerId>(id);
--- a/drivers/epoll/epoll_loop.h
+++ b/drivers/epoll/epoll_loop.h
@@ -56,6 +56,7 @@
     std::unordered_map<std::uint64_t, TimerEntry> m_timerEntries;
     std::vector<Callback> m_deferredCallbacks;
     std::uint64_t m_lastTimerId = 0;
+    SteadyTime m_startedAt; ///< Periodic timers fire at multiples of their periods after it.
     SteadyTime m_now;
     SteadyTime m_collectedAt; ///< When the last events were collected.
     std::chrono::milliseconds m_inputDelay{0};
@@ -80,8 +81,12 @@
     void updateInputDelay(SteadyTime waitStart);
     /** Returns the time to the next timer, 0 if callbacks are due now, or -1 without timers. */
     int pollTimeoutMilliseconds();
-    TimerId start(std::chrono::milliseconds delay, std::chrono::milliseconds period,
-                  Callback callback);
+    TimerId start(SteadyTime due, std::chrono::milliseconds period, Callback callback);
+    /**
+     * Returns the first multiple of the period that is at least half a period away. Timers of the
+     * same period, and of multiples of it, thus share their wake-ups.
+     */
+    SteadyTime nextPeriodicDue(std::chrono::milliseconds period) const;
     /** Removes the first entry of the timer queue, which has this id, and calls its callback. */
     void fire(std::uint64_t id);
     void runTimers();
@@ -118,6 +123,7 @@
     std::chrono::milliseconds inputDelay() const { return m_inputDelay; }
     WallTime wallNow() const override;
     TimerId startOnce(std::chrono::milliseconds delay, Callback callback) override;
+    /** The first call is made after half a period at the earliest; see nextPeriodicDue(). */
     TimerId startPeriodic(std::chrono::milliseconds period, Callback callback) override;
     void stop(TimerId id) override;
 };
--- a/drivers/tests/test_epoll_loop.cpp
+++ b/drivers/tests/test_epoll_loop.cpp
@@ -46,6 +46,26 @@
     CHECK(std::chrono::steady_clock::now() - start >= milliseconds(40));
 }
 
+// Guards against a wake-up of the loop for each of several timers of the same period.
+TEST_CASE("periodic timers that were started at different times fire together")
+{
+    constexpr milliseconds Period{40};
+    EpollLoop &loop = EpollLoop::instance();
+    SteadyTime firstAt;
+    SteadyTime secondAt;
+    bool done = false;
+    const SteadyTime start = std::chrono::steady_clock::now();
+    const Timer first(loop, loop.startPeriodic(Period, [&] { firstAt = loop.now(); }));
+    std::this_thread::sleep_for(milliseconds(15));
+    const Timer second(loop, loop.startPeriodic(Period, [&] {
+        secondAt = loop.now();
+        done = firstAt != SteadyTime();
+    }));
+    runUntil(done);
+    CHECK(firstAt == secondAt);
+    CHECK(firstAt - start >= Period / 2);
+}
+
 TEST_CASE("a periodic timer can stop itself and a stopped timer does not fire")
 {
     EpollLoop &loop = EpollLoop::instance();
