Fewer copies of a forwarded request, call checks only while there are calls

Cause: the owner copied each request with its headers and body when its response arrived, the caller's node copied it into the message, and the list of candidates grew by moving its elements. A timer woke the node every 50 ms to check its calls when there were none. Change: both requests are moved, memory for candidates is reserved, and the timer runs only while there are calls.

--- a/modules/fleet/remote_call_client.cpp
+++ b/modules/fleet/remote_call_client.cpp
@@ -18,22 +18,30 @@
     : m_options(options), m_network(network), m_timers(timers)
 {
     network.addObserver(*this);
-    m_checkTimer =
-            Timer(timers, timers.startPeriodic(options.checkPeriod, [this] { checkCalls(); }));
 }
 
-std::uint64_t RemoteCallClient::call(const std::string &node, const WorkRequest &work,
-                                     Callback callback)
+std::uint64_t RemoteCallClient::addCall(Call call)
 {
     const std::uint64_t id = ++m_lastCallId;
+    ++m_outstandingByNode[call.node];
+    m_calls.emplace(id, std::move(call));
+    if (!m_checkTimer.isActive())
+        m_checkTimer = Timer(
+                m_timers, m_timers.startPeriodic(m_options.checkPeriod, [this] { checkCalls(); }));
+    return id;
+}
+
+std::uint64_t RemoteCallClient::call(const std::string &node, WorkRequest work, Callback callback)
+{
     const FleetPeer *peer = m_network.peer(node);
-    m_calls.emplace(id, Call{.node = node,
-                             .incarnation = peer == nullptr ? 0 : peer->contact.incarnation,
-                             .callback = std::move(callback),
-                             .idempotent = work.idempotent});
-    ++m_outstandingByNode[node];
-    if (!m_network.send(node,
-                        WorkCallMessage{.callerProcess = ownProcess(), .call = id, .work = work})) {
+    const std::uint64_t id =
+            addCall(Call{.node = node,
+                         .incarnation = peer == nullptr ? 0 : peer->contact.incarnation,
+                         .callback = std::move(callback),
+                         .idempotent = work.idempotent});
+    if (!m_network.send(node, WorkCallMessage{.callerProcess = ownProcess(),
+                                              .call = id,
+                                              .work = std::move(work)})) {
         m_timers.startOnce(std::chrono::milliseconds(0), [this, id] {
             finish(id, WorkResult{.verdict = Verdict::NotRun, .refusal = WorkRefusal::Unreachable});
         });
@@ -75,6 +83,10 @@
 
 void RemoteCallClient::checkCalls()
 {
+    if (m_calls.empty()) {
+        m_checkTimer.stop();
+        return;
+    }
     std::vector<std::uint64_t> lost;
     for (const auto &[id, call] : m_calls) {
         if (hasTimedOut(call))
--- a/modules/fleet/remote_call_client.h
+++ b/modules/fleet/remote_call_client.h
@@ -50,8 +50,10 @@
     std::unordered_map<std::uint64_t, Call> m_calls;
     std::unordered_map<std::string, std::uint32_t> m_outstandingByNode;
     std::uint64_t m_lastCallId = 0;
-    Timer m_checkTimer;
+    Timer m_checkTimer; ///< Active while there are calls.
 
+    /** Adds a call and returns its id. */
+    std::uint64_t addCall(Call call);
     void checkCalls();
     /** Returns whether a call must fail. Probes its node if that has sent nothing lately. */
     bool hasTimedOut(const Call &call);
@@ -75,7 +77,7 @@
      * after this function has returned, unless the call is cancelled. If the node has no link, the
      * result is NotRun.
      */
-    std::uint64_t call(const std::string &node, const WorkRequest &work, Callback callback);
+    std::uint64_t call(const std::string &node, WorkRequest work, Callback callback);
     /** Cancels a call; its callback will not run. The owner is asked to stop the request. */
     void cancel(std::uint64_t call);
     /** Returns the number of calls that wait for a result from a node. */
--- a/modules/forwarding/forwarder.cpp
+++ b/modules/forwarding/forwarder.cpp
@@ -253,7 +253,7 @@
         if (request->ownerAttempts == ownerAttempt && request->owner == m_options.node)
             request->callId = callId;
     } else {
-        request->callId = m_remote.call(owner->node, work, callback);
+        request->callId = m_remote.call(owner->node, std::move(work), callback);
     }
 }
 
--- a/modules/forwarding/owner_directory.cpp
+++ b/modules/forwarding/owner_directory.cpp
@@ -10,6 +10,7 @@
 
 // Owners named in a log line. The others are only counted, to keep lines short in a large mesh.
 constexpr std::size_t MaxNamedOwners = 6;
+constexpr std::size_t MaxReservedCandidates = 32;
 
 } // namespace
 
@@ -46,7 +47,8 @@
     return "";
 }
 
-void OwnerDirectory::forEachNode(const std::function<void(const Entry &)> &visit) const
+template <typename Visitor>
+void OwnerDirectory::forEachNode(Visitor visit) const
 {
     const BackendStatus local = m_local.status();
     visit(Entry{.node = m_network.self().node, .backend = local, .peer = nullptr});
@@ -93,6 +95,8 @@
                                                          bool anyVersion) const
 {
     std::vector<OwnerCandidate> found;
+    // A mesh has many services, so only a part of the nodes are owners of this one.
+    found.reserve(std::min(m_network.peers().size() + 1, MaxReservedCandidates));
     forEachNode([&](const Entry &entry) {
         if (exclusion(entry, query, anyVersion) != Exclusion::None)
             return;
--- a/modules/forwarding/owner_directory.h
+++ b/modules/forwarding/owner_directory.h
@@ -1,7 +1,6 @@
 #ifndef MODULES_FORWARDING_OWNER_DIRECTORY_H
 #define MODULES_FORWARDING_OWNER_DIRECTORY_H
 
-#include <functional>
 #include <string>
 #include <vector>
 
@@ -55,7 +54,9 @@
     TimerService &m_timers;
 
     static std::string_view exclusionName(Exclusion exclusion);
-    void forEachNode(const std::function<void(const Entry &)> &visit) const;
+    /** Calls `visit` with the entry of each node. */
+    template <typename Visitor>
+    void forEachNode(Visitor visit) const;
     /**
      * Returns why a node is excluded. With anyVersion, the required version of the query does not
      * matter; its excluded version is still not allowed.
--- a/modules/owner/backend_owner.cpp
+++ b/modules/owner/backend_owner.cpp
@@ -486,13 +486,14 @@
             std::chrono::duration_cast<std::chrono::microseconds>(now - found->second.startedAt);
     const bool isSample =
             result.verdict == Verdict::Done || result.failure == HttpFailure::TimedOut;
-    const Work work = found->second;
+    // Nothing below can cancel the request, so it may leave the table before its callback runs.
+    const Work work = take(found);
     const WorkResult outcome = classify(work, std::move(result));
     const bool ran = outcome.verdict != Verdict::NotRun;
     m_admission.finished(work.request.route,
                          isSample && ran ? serviceTime : std::chrono::microseconds(0), now);
     recordEvidence(work, outcome, serviceTime);
-    finish(id, outcome);
+    work.callback(outcome);
     processQueue();
 }
 
