--- a/modules/fleet/fleet_network.cpp
+++ b/modules/fleet/fleet_network.cpp
@@ -104,6 +104,11 @@
 void FleetNetwork::updateLinkPlan()
 {
     m_nextPlanUpdate = m_timers.now() + m_options.linkPlanPeriod;
+    if (!needsRelays()) {
+        for (auto &[node, peer] : m_peers)
+            peer.planned = true;
+        return;
+    }
     std::vector<LinkPlanNode> nodes;
     nodes.reserve(m_peers.size());
     for (const auto &[node, peer] : m_peers) {
