Workspace keys: withdrawn ones end to be accepted without contact to the store

Cause: a node that is cut off from the store, or was frozen, accepted keys that a newer configuration had withdrawn for as long as that lasted. Change: KnowledgeAge tracks when the installed configuration was last known to be the newest, by CLOCK_BOOTTIME and from the time of each question; the table follower reports when an answered read was sent, and KnowledgeExchange asks readers of the store. With limits.revoke_seconds and strict_revoke, keyed requests are answered 503 (key-unverified) from 0.95 of that time on; events KeysUnverified and KeysVerified, metrics and documentation. With both settings, long polls of the store last 0.06 of the time. A flag in a settings file may also be written True or False. Not run with real processes.

--- a/core/event.cpp
+++ b/core/event.cpp
@@ -31,6 +31,8 @@
             {Event::LogRegained, "LogRegained", EventLevel::Info, false},
             {Event::OperatorRecordIgnored, "OperatorRecordIgnored", EventLevel::Warning, true},
             {Event::TrafficConfigInForce, "TrafficConfigInForce", EventLevel::Info, false},
+            {Event::KeysUnverified, "KeysUnverified", EventLevel::Warning, false},
+            {Event::KeysVerified, "KeysVerified", EventLevel::Info, false},
             {Event::ReleaseStarted, "ReleaseStarted", EventLevel::Info, false},
             {Event::ReleaseStepProposed, "ReleaseStepProposed", EventLevel::Info, false},
             {Event::ReleaseAdvanced, "ReleaseAdvanced", EventLevel::Info, false},
--- a/core/event.h
+++ b/core/event.h
@@ -39,6 +39,8 @@
     LogRegained = 2014,
     OperatorRecordIgnored = 2015,
     TrafficConfigInForce = 2016,
+    KeysUnverified = 2020,
+    KeysVerified = 2021,
 
     ReleaseStarted = 3001,
     ReleaseStepProposed = 3002,
--- a/modules/feed/table_follower.cpp
+++ b/modules/feed/table_follower.cpp
@@ -32,6 +32,12 @@
     read();
 }
 
+void TableFollower::setReadListener(const BootClock &clock, ReadListener listener)
+{
+    m_bootClock = &clock;
+    m_readListener = std::move(listener);
+}
+
 std::chrono::milliseconds TableFollower::answerAge() const
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(m_timers.now() - m_answeredAt);
@@ -52,8 +58,12 @@
             waits ? m_options.longPollWait : std::chrono::milliseconds(0);
     m_timer = Timer(m_timers,
                     m_timers.startOnce(wait + m_answerTimeout, [this] { readUnanswered(); }));
-    const auto callback = [this, readNumber, isWholeTable](const absl::StatusOr<KeyedPage> &page) {
+    const BootTime sentAt = m_bootClock != nullptr ? m_bootClock->now() : BootTime();
+    const auto callback = [this, readNumber, isWholeTable,
+                           sentAt](const absl::StatusOr<KeyedPage> &page) {
         readFinished(readNumber, page, isWholeTable);
+        if (page.ok())
+            reportRead(*page, sentAt);
     };
     if (isWholeTable) {
         m_log.readNewest(m_options.table, callback);
@@ -94,6 +104,13 @@
     readAfter(isFirstRead ? m_options.firstReadPause : m_options.readPause);
 }
 
+void TableFollower::reportRead(const KeyedPage &page, BootTime sentAt)
+{
+    // A page that ends before this copy was not merged, or is older than what was.
+    if (m_readListener != nullptr && page.reachesEnd && page.endOffset >= m_table.end())
+        m_readListener(sentAt);
+}
+
 void TableFollower::readFailed(const absl::Status &status)
 {
     if (absl::IsOutOfRange(status)) {
--- a/modules/feed/table_follower.h
+++ b/modules/feed/table_follower.h
@@ -3,9 +3,11 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <string>
 
 #include "modules/feed/operator_table.h"
+#include "servers/boot_clock.h"
 #include "servers/keyed_log.h"
 #include "servers/timer_service.h"
 
@@ -40,6 +42,11 @@
  */
 class TableFollower
 {
+public:
+    /** Called with the time at which a read was sent, once the table contains its whole result. */
+    using ReadListener = std::function<void(BootTime sentAt)>;
+
+private:
     TableFollowerOptions m_options;
     KeyedLog &m_log;
     TimerService &m_timers;
@@ -53,11 +60,14 @@
     bool m_active = false;
     bool m_needsWholeTable = true;
     bool m_reachable = false; ///< Whether the log answered the last read.
-    SteadyTime m_answeredAt;  ///< When the log last answered a read; initially the construction.
+    const BootClock *m_bootClock = nullptr;
+    ReadListener m_readListener;
+    SteadyTime m_answeredAt; ///< When the log last answered a read; initially the construction.
 
     void read();
     void readFinished(std::uint64_t readNumber, const absl::StatusOr<KeyedPage> &page,
                       bool isWholeTable);
+    void reportRead(const KeyedPage &page, BootTime sentAt);
     void readUnanswered();
     void readFailed(const absl::Status &status);
     void setReachable(bool reachable, const std::string &reason);
@@ -67,6 +77,8 @@
     TableFollower(const TableFollowerOptions &options, KeyedLog &log, TimerService &timers,
                   OperatorTable &table);
 
+    /** Sets a listener for answered reads; the clock is not owned. */
+    void setReadListener(const BootClock &clock, ReadListener listener);
     /** Starts or stops reading. The result of a read in progress is still merged. */
     void setActive(bool active);
     bool isActive() const { return m_active; }
--- a/modules/feed/tests/test_table_follower.cpp
+++ b/modules/feed/tests/test_table_follower.cpp
@@ -2,6 +2,7 @@
 
 #include "modules/feed/table_follower.h"
 #include "tests/support/fake_keyed_log.h"
+#include "tests/support/manual_boot_clock.h"
 #include "tests/support/manual_timer_service.h"
 
 namespace jacinthshift {
@@ -125,4 +126,50 @@
     CHECK(fixture.log.callCount == calls);
 }
 
+// Guards against knowledge that counts from an answer although the store read the table earlier.
+TEST_CASE("a follower reports an answered read with the time at which it was sent")
+{
+    FollowerFixture fixture;
+    ManualBootClock clock;
+    std::vector<BootTime> reported;
+    fixture.follower.setReadListener(clock, [&](BootTime sentAt) {
+        reported.push_back(sentAt);
+        CHECK(fixture.table.end() == fixture.log.newest("t", "config").size());
+    });
+    fixture.log.put("t", "config", "1");
+    const BootTime start = clock.now();
+    fixture.follower.setActive(true);
+    REQUIRE(reported.size() == 1);
+    CHECK(reported[0] == start);
+    clock.advance(milliseconds(500));
+    fixture.timers.advance(milliseconds(500)); // The next read waits for a record.
+    clock.advance(milliseconds(700));
+    fixture.log.put("t", "config", "22");
+    REQUIRE(reported.size() == 2);
+    CHECK(reported[1] == start + milliseconds(500));
+}
+
+// Guards against a store that is away, or a page that was cut off, and counts as known.
+TEST_CASE("a follower does not report a read that failed or did not reach the table's end")
+{
+    FollowerFixture fixture;
+    ManualBootClock clock;
+    int reported = 0;
+    fixture.follower.setReadListener(clock, [&](BootTime) { ++reported; });
+    fixture.log.unavailable = true;
+    fixture.follower.setActive(true);
+    fixture.timers.advance(milliseconds(3'000));
+    CHECK(reported == 0);
+    fixture.log.unavailable = false;
+    fixture.log.cutsPages = true;
+    fixture.log.put("t", "config", "1");
+    fixture.timers.advance(milliseconds(1'000));
+    CHECK(fixture.table.end() == 1);
+    const int afterWholeTable = reported;
+    fixture.log.put("t", "config", "2");
+    fixture.timers.advance(milliseconds(10));
+    CHECK(fixture.table.end() == 2);
+    CHECK(reported == afterWholeTable);
+}
+
 } // namespace jacinthshift
--- a/modules/fleet/message_codec.cpp
+++ b/modules/fleet/message_codec.cpp
@@ -456,6 +456,35 @@
         message.contacts.push_back(decodeContact(contact));
 }
 
+json encode(const KnowledgeQuestionMessage &message)
+{
+    return message.number;
+}
+
+void decode(const json &source, KnowledgeQuestionMessage &message)
+{
+    source.get_to(message.number);
+}
+
+json encode(const KnowledgeAnswerMessage &message)
+{
+    json fields{message.number, message.configVersion};
+    if (message.age)
+        fields.push_back(message.age->count());
+    return fields;
+}
+
+void decode(const json &source, KnowledgeAnswerMessage &message)
+{
+    source.at(0).get_to(message.number);
+    source.at(1).get_to(message.configVersion);
+    if (source.size() > 2) {
+        message.age = decodeMilliseconds(source.at(2));
+        if (message.age->count() < 0)
+            throw json::out_of_range::create(401, "negative age", &source);
+    }
+}
+
 /** Decodes the fields of the alternative with this number, which must be below the variant size. */
 template <std::size_t Index = 0>
 FleetMessage decodeAlternative(std::size_t number, const json &fields)
--- a/modules/fleet/messages.h
+++ b/modules/fleet/messages.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -299,13 +300,28 @@
     bool domainDone = false;
 };
 
+/** Asks a node which configuration was the newest in the store, and when. */
+struct KnowledgeQuestionMessage
+{
+    std::uint64_t number = 0; ///< Identifies the question in the sender's process.
+};
+
+struct KnowledgeAnswerMessage
+{
+    std::uint64_t number = 0;        ///< Of the question.
+    std::uint64_t configVersion = 0; ///< Of the configuration in force at the sender.
+    /** Time since that configuration was known to be the newest; absent if it never was. */
+    std::optional<std::chrono::milliseconds> age;
+};
+
 /** The order of the alternatives defines their numbers on the wire. */
 using FleetMessage =
         std::variant<GreetingMessage, StatusMessage, WorkCallMessage, WorkResultMessage,
                      WorkCancelMessage, WorkResumeMessage, TableFetchMessage, TableRecordsMessage,
                      VersionEvidenceMessage, CrashSuspectMessage, RolloutProgressMessage,
                      ProbeMessage, ContactsFetchMessage, ContactsMessage, ResponsePartMessage,
-                     EvidenceBatchMessage, BackendLeftMessage, KnownCrashesMessage>;
+                     EvidenceBatchMessage, BackendLeftMessage, KnownCrashesMessage,
+                     KnowledgeQuestionMessage, KnowledgeAnswerMessage>;
 
 /** Returns the name used in logs. */
 std::string_view refusalName(WorkRefusal refusal);
--- a/modules/forwarding/forwarder.cpp
+++ b/modules/forwarding/forwarder.cpp
@@ -128,6 +128,10 @@
         refuse(request.responder, request.requestId, StatusUnauthorized,
                std::chrono::milliseconds(0), "key-unknown");
         return false;
+    case KeyVerdict::Unverified:
+        refuse(request.responder, request.requestId, StatusUnavailable,
+               m_options.retryAfterWithoutVerification, "key-unverified");
+        return false;
     case KeyVerdict::Valid:
     case KeyVerdict::NotNeeded:
         break;
--- a/modules/forwarding/forwarder.h
+++ b/modules/forwarding/forwarder.h
@@ -53,6 +53,8 @@
     std::chrono::milliseconds defaultTimeout{10'000}; ///< For routes without a timeout.
     /** Retry-After of a node that has no configuration yet. */
     std::chrono::milliseconds retryAfterWithoutConfig{300};
+    /** Retry-After of a node that does not know whether a key is still valid. */
+    std::chrono::milliseconds retryAfterWithoutVerification{500};
     /** Retry-After if no owner suggested one. */
     std::chrono::milliseconds retryAfterWithoutOwner{250};
     /** Retry-After of a node that is stopping; another node may serve the request. */
@@ -118,7 +120,7 @@
     OwnerSelector m_selector;
     ServiceRetryBudgets m_budgets;
     RouteTable *m_routes = nullptr;
-    const KeyCheck *m_keyCheck = nullptr;
+    KeyCheck *m_keyCheck = nullptr;
     /** Longest deadline that callers have sent, by route. */
     std::unordered_map<std::string, std::chrono::milliseconds> m_longestDeadline;
     /** Mean response times in milliseconds. */
@@ -178,7 +180,7 @@
     /** Sets the route table, which is not owned. Without one, every request is refused. */
     void setRoutes(RouteTable *routes) { m_routes = routes; }
     /** Sets the check of workspace keys, which is not owned; it applies while it is enabled. */
-    void setKeyCheck(const KeyCheck *keyCheck) { m_keyCheck = keyCheck; }
+    void setKeyCheck(KeyCheck *keyCheck) { m_keyCheck = keyCheck; }
     /** Sets the number of nodes that share the operator's retry limits. */
     void setNodeCount(std::size_t nodeCount) { m_budgets.setNodeCount(nodeCount); }
     /** Forwards one request and answers it through the responder. */
--- a/modules/forwarding/tests/test_forwarder.cpp
+++ b/modules/forwarding/tests/test_forwarder.cpp
@@ -5,6 +5,7 @@
 #include "core/text.h"
 #include "modules/forwarding/forwarder.h"
 #include "tests/support/fake_link_hub.h"
+#include "tests/support/manual_boot_clock.h"
 
 namespace jacinthshift {
 
@@ -457,7 +458,10 @@
 /** A forwarder with the workspaces "gold" (priority 0) and "plain", and one public route. */
 struct WorkspaceBench : public ForwarderBench
 {
-    KeyCheck keyCheck{headerNames};
+    ManualBootClock clock;
+    KnowledgeAge knowledge;
+    KeyCheck keyCheck{
+            {.headers = headerNames, .revokeTime = milliseconds(5'000)}, knowledge, clock};
 
     WorkspaceBench()
     {
@@ -469,6 +473,8 @@
         setWorkspaces({{.name = "gold", .keys = {"g1", "g2"}, .priority = 0},
                        {.name = "plain", .keys = {"p1"}}});
         forwarder.setKeyCheck(&keyCheck);
+        knowledge.installed(1);
+        knowledge.tableRead(clock.now());
     }
     void setWorkspaces(const std::vector<Workspace> &workspaces)
     {
@@ -602,4 +608,46 @@
     CHECK(bench.local.requests.front().workspace == "plain");
 }
 
+// Guards against withdrawn keys that a node without contact to the store accepts for ever, and
+// against a 401 from such a node for a key that may be valid.
+TEST_CASE("a node with old knowledge answers keyed requests with 503 and serves public routes")
+{
+    WorkspaceBench bench;
+    bench.drainRemoteOwner();
+    bench.clock.advance(milliseconds(4'700));
+    bench.send("/read/1", {{"Key", "p1"}});
+    CHECK(bench.attempts() == 1);
+    bench.clock.advance(milliseconds(100));
+    for (const char *key : {"p1", "unknown"}) {
+        const auto answer = bench.send("/read/1", {{"Key", key}});
+        REQUIRE(answer->response.has_value());
+        CHECK(answer->response->status == 503);
+        CHECK(answer->response->body == "key-unverified\n");
+        CHECK(findHeader(answer->response->headers, "Retry-After") == "0.500");
+    }
+    CHECK(bench.send("/read/1")->response->status == 401);
+    CHECK(bench.attempts() == 1);
+    bench.send("/open/1", {{"Key", "p1"}});
+    REQUIRE(bench.attempts() == 2);
+    CHECK(bench.local.requests.back().workspace.empty());
+    CHECK(countHeaders(bench.local.requests.back(), "key") == 0);
+    bench.knowledge.tableRead(bench.clock.now());
+    bench.send("/read/1", {{"Key", "p1"}});
+    CHECK(bench.attempts() == 3);
+}
+
+// Guards against refusals because of age in deployments that set no limit.
+TEST_CASE("without a revoke time keys are checked against a configuration of any age")
+{
+    WorkspaceBench bench;
+    bench.drainRemoteOwner();
+    KeyCheck unlimited({.headers = headerNames}, bench.knowledge, bench.clock);
+    unlimited.setWorkspaces(std::vector<Workspace>{{.name = "w", .keys = {"k"}}});
+    bench.forwarder.setKeyCheck(&unlimited);
+    bench.clock.advance(std::chrono::hours(1));
+    bench.send("/read/1", {{"Key", "k"}});
+    CHECK(bench.attempts() == 1);
+    CHECK(bench.send("/read/1", {{"Key", "p1"}})->response->status == 401);
+}
+
 } // namespace jacinthshift
--- a/modules/yaml/yaml_section.cpp
+++ b/modules/yaml/yaml_section.cpp
@@ -111,9 +111,11 @@
     if (!node.IsDefined())
         return fallback;
     const std::string value = scalar(node, key);
-    if (value != "true" && value != "false")
+    // YAML also allows a capital letter, which some template engines write.
+    const bool isTrue = equalsIgnoreCase(value, "true");
+    if (!isTrue && !equalsIgnoreCase(value, "false"))
         addProblem(key, joinText(key, " must be true or false, not '", value, "'"));
-    return value == "true";
+    return isTrue;
 }
 
 std::uint32_t YamlSection::number(const std::string &key, std::uint32_t fallback)
--- a/node/mesh_metrics.cpp
+++ b/node/mesh_metrics.cpp
@@ -39,6 +39,11 @@
     appendMetric("operator_table_end", sources.table.end());
     appendMetric("log_reachable", sources.follower.isReachable() ? 1 : 0);
     appendMetric("log_answer_age_ms", sources.follower.answerAge().count());
+    if (sources.keysEnabled) {
+        appendMetric("keys_verified", sources.keysVerified ? 1 : 0);
+        if (sources.knowledgeAge)
+            appendMetric("keys_age_ms", sources.knowledgeAge->count());
+    }
     appendMetric("peers_known", network.peers().size());
     appendMetric("peers_reachable", reachable);
     appendMetric("loop_delay_ms", sources.loop.delay().count());
--- a/node/mesh_metrics.h
+++ b/node/mesh_metrics.h
@@ -1,8 +1,10 @@
 #ifndef NODE_MESH_METRICS_H
 #define NODE_MESH_METRICS_H
 
+#include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "modules/feed/operator_table.h"
@@ -21,6 +23,10 @@
     const OperatorTable &table;
     const TableFollower &follower;
     const LoopMonitor &loop;
+    bool keysEnabled = false;  ///< Whether requests carry workspace keys.
+    bool keysVerified = false; ///< Whether keyed requests are accepted.
+    /** Time since the configuration in force was known to be the newest, if ever. */
+    std::optional<std::chrono::milliseconds> knowledgeAge;
     BackendStatus backend;
     std::uint64_t configVersion = 0;
     std::size_t callerConnections = 0;
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -15,6 +15,7 @@
 #include "core/text.h"
 #include "drivers/beast/beast_http_client.h"
 #include "drivers/beast/beast_http_server.h"
+#include "drivers/clock/system_boot_clock.h"
 #include "drivers/epoll/epoll_loop.h"
 #include "drivers/websocket/websocket_link_transport.h"
 #include "modules/feed/table_sync.h"
@@ -22,6 +23,7 @@
 #include "modules/owner/backend_owner.h"
 #include "modules/owner/crash_exchange.h"
 #include "modules/rollout/rollout_controller.h"
+#include "modules/workspace/knowledge_exchange.h"
 #include "node/loop_monitor.h"
 #include "node/mesh_metrics.h"
 #include "node/node_discovery.h"
@@ -119,6 +121,37 @@
                                      static_cast<std::size_t>(maxConnections * KeepAliveShare)};
 }
 
+/** Returns the time within which a withdrawn key ends to be accepted; zero for no limit. */
+std::chrono::milliseconds revokeTimeInForce(const MeshSettings &settings)
+{
+    return settings.strictRevoke ? settings.revokeTime : std::chrono::milliseconds(0);
+}
+
+TableFollowerOptions followerOptions(const MeshSettings &settings)
+{
+    TableFollowerOptions options{.table = wire::OperatorTable};
+    // A reader's knowledge counts from when it sent a read, so its age reaches twice the duration
+    // of a read. With 0.06 of the revoke time (0.3 s of 5 s) it stays below the age from which
+    // readers are asked.
+    const std::chrono::milliseconds revokeTime = revokeTimeInForce(settings);
+    if (revokeTime.count() > 0)
+        options.longPollWait = std::clamp(revokeTime * 6 / 100, std::chrono::milliseconds(50),
+                                          options.longPollWait);
+    return options;
+}
+
+KnowledgeExchangeOptions knowledgeExchangeOptions(const MeshSettings &settings,
+                                                  std::uint64_t randomSeed)
+{
+    KnowledgeExchangeOptions options{.randomSeed = randomSeed};
+    const std::chrono::milliseconds revokeTime = revokeTimeInForce(settings);
+    if (revokeTime.count() > 0) {
+        options.askAge = revokeTime * 3 / 10;
+        options.answerTimeout = revokeTime * 8 / 100;
+    }
+    return options;
+}
+
 } // namespace
 
 /** The node's components; each is declared after those that it depends on. */
@@ -145,11 +178,14 @@
     StoreRolloutRegister rolloutRegister;
     RolloutController rollouts;
     TrafficMetrics metrics;
+    SystemBootClock bootClock;
+    KnowledgeAge knowledge;
     KeyCheck keyCheck;
     Forwarder forwarder;
     OperatorTable table;
     TableFollower follower;
     TableSync tableSync;
+    KnowledgeExchange knowledgeExchange;
     NodeDiscovery discovery;
     BeastHttpServer callerServer;
     BeastHttpServer readinessServer;
@@ -182,7 +218,7 @@
     void publishStatus(StatusAudience audience);
     void handleControl(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
     absl::Status acceptHeartbeat(const std::string &id, const HttpRequest &request);
-    std::string metricsText() const;
+    std::string metricsText();
     void reloadSettings(const std::string &reason);
     void checkSettingsFile();
     void beginShutdown();
@@ -256,13 +292,16 @@
                                         .randomSeed = randomSeed,
                                         .canaryShare = settings.canaryShare * 0.6},
                network, timers, rolloutRegister, owner)
-    , keyCheck(wire::headerNames())
+    , keyCheck({.headers = wire::headerNames(), .revokeTime = revokeTimeInForce(settings)},
+               knowledge, bootClock)
     , forwarder(forwarderOptions(settings, randomSeed), timers, network, remoteCallClient, owner,
                 rollouts, metrics)
-    , follower(TableFollowerOptions{.table = wire::OperatorTable}, storeClient, timers, table)
+    , follower(followerOptions(settings), storeClient, timers, table)
     , tableSync(TableSyncOptions{.relayCapacity = computeRelayCapacity(settings),
                                  .randomSeed = randomSeed},
                 network, timers, table, follower)
+    , knowledgeExchange(knowledgeExchangeOptions(settings, randomSeed), network, timers, bootClock,
+                        knowledge, [this] { return keyCheck.limitsAge(); })
     , discovery(NodeDiscoveryOptions{}, storeClient, network, timers)
     , callerServer(callerServerOptions(settings, CallerLimits()))
     , readinessServer(HttpServerOptions{.serveClosedCallers = true})
@@ -271,6 +310,7 @@
 {
     forwarder.setKeyCheck(&keyCheck);
     network.addObserver(*this);
+    follower.setReadListener(bootClock, [this](BootTime sentAt) { knowledge.tableRead(sentAt); });
     table.setListener([this](const KeyedRecord &record) { handleOperatorRecord(record); });
 }
 
@@ -309,6 +349,7 @@
     logTimer = Timer(timers, timers.startPeriodic(LogFlushPeriod, [] { flushLog(); }));
     statusTimer = Timer(timers, timers.startPeriodic(std::chrono::milliseconds(100), [this] {
         publishStatus(StatusAudience::Nobody);
+        keyCheck.isVerified(); // Logs a change while no requests arrive.
         forwarder.setNodeCount(network.peers().size() + 1);
     }));
     settingsTimer = Timer(
@@ -325,6 +366,7 @@
     if (record.key == wire::ConfigKey) {
         // Each record holds a complete configuration, so only the newest pending one is installed.
         pendingConfig = record;
+        knowledge.installationPending();
         if (!configTimer.isActive())
             installPendingConfig();
         return;
@@ -339,6 +381,7 @@
         return;
     const SteadyTime installStart = std::chrono::steady_clock::now();
     applyRecord(*std::exchange(pendingConfig, std::nullopt));
+    knowledge.installed(config.version);
     const auto installDuration = std::chrono::duration_cast<std::chrono::milliseconds>(
             std::chrono::steady_clock::now() - installStart);
     const std::chrono::milliseconds pause =
@@ -445,13 +488,16 @@
         owner.backendLeft(left->backend);
 }
 
-std::string MeshNode::Components::metricsText() const
+std::string MeshNode::Components::metricsText()
 {
     return meshMetricsText({.traffic = metrics,
                             .network = network,
                             .table = table,
                             .follower = follower,
                             .loop = loopMonitor,
+                            .keysEnabled = keyCheck.isEnabled(),
+                            .keysVerified = keyCheck.isVerified(),
+                            .knowledgeAge = knowledge.age(bootClock.now()),
                             .backend = owner.status(),
                             .configVersion = config.version,
                             .callerConnections = callerServer.connectionCount(),
--- a/node/mesh_settings.h
+++ b/node/mesh_settings.h
@@ -36,6 +36,12 @@
      * of its service's policy.
      */
     double coldFactor = 1.0;
+    /**
+     * Time within which a withdrawn workspace key ends to be accepted; zero if keys are accepted
+     * from a configuration of any age.
+     */
+    std::chrono::milliseconds revokeTime{0};
+    bool strictRevoke = false;      ///< revokeTime holds without contact to the store as well.
     std::uint32_t maxFiles = 1'024; ///< File descriptors that the process may open.
     double processorShare = 1.0;    ///< Processor time that the process may use, in cores.
     double linkMegabits = 1'000.0;  ///< Bandwidth of the VM's network link in Mbit/s.
--- a/node/tests/test_mesh_settings.cpp
+++ b/node/tests/test_mesh_settings.cpp
@@ -80,8 +80,38 @@
     return fields;
 }
 
+MeshSettings readText(const std::string &text)
+{
+    const std::string path = joinText("/tmp/mesh-settings-", getpid(), ".yaml");
+    std::ofstream(path) << text;
+    Problems problems;
+    const MeshSettings settings = readMeshSettings(path, problems);
+    unlink(path.c_str());
+    REQUIRE(problems.empty());
+    return settings;
+}
+
+MeshSettings readWithout(const std::string &field)
+{
+    return readText(render(field));
+}
+
 } // namespace
 
+// Guards against nodes that accept withdrawn keys, or refuse valid ones in a deployment that sets
+// no limit.
+TEST_CASE("the revoke time is read, and off where a deployment lacks it")
+{
+    CHECK(readWithout("").revokeTime == std::chrono::seconds(1));
+    CHECK(readWithout("").strictRevoke);
+    CHECK(readWithout("bounds.revokeS").revokeTime == std::chrono::seconds(0));
+    CHECK_FALSE(readWithout("bounds.strictRevoke").strictRevoke);
+    const std::regex value("strict_revoke: true");
+    CHECK(readText(std::regex_replace(render(""), value, "strict_revoke: True")).strictRevoke);
+    CHECK_FALSE(
+            readText(std::regex_replace(render(""), value, "strict_revoke: False")).strictRevoke);
+}
+
 // Guards against nodes that do not start in a deployment without one of the operator's bounds, as
 // the template then renders a key without a value.
 TEST_CASE("a node starts in a deployment that lacks any one of the optional fields")
--- a/servers/keyed_log.h
+++ b/servers/keyed_log.h
@@ -36,6 +36,8 @@
     std::uint64_t era = 0;
     /** The page holds every key of the table, so keys that it lacks were removed. */
     bool isWholeTable = false;
+    /** The page was not cut off: no record that was in the table when it was read is missing. */
+    bool reachesEnd = true;
 };
 
 /** Which records to read. */
--- a/tests/support/fake_keyed_log.h
+++ b/tests/support/fake_keyed_log.h
@@ -77,6 +77,7 @@
     bool unavailable = false;        ///< All calls fail with Unavailable.
     bool loseWriteResponses = false; ///< Writes take effect but report Unknown.
     bool silent = false;             ///< Reads are never answered, not even later.
+    bool cutsPages = false;          ///< Pages of records say that more follow.
     int callCount = 0;
 
     void put(const std::string &table, const std::string &key, const std::string &value)
@@ -151,7 +152,7 @@
         } else if (request.fromOffset >= table.records.size()) {
             addPendingRead(request, std::move(callback));
         } else {
-            KeyedPage page{.endOffset = table.records.size()};
+            KeyedPage page{.endOffset = table.records.size(), .reachesEnd = !cutsPages};
             page.records.assign(table.records.begin()
                                         + static_cast<std::ptrdiff_t>(request.fromOffset),
                                 table.records.end());
