Admission queue: fair shares among workspaces

Cause: when capacity is short, the requests of a large workspace, or of more urgent ones, left almost nothing to the others. Tickets without a workspace are ordered as before.

--- a/modules/owner/admission_queue.cpp
+++ b/modules/owner/admission_queue.cpp
@@ -63,8 +63,16 @@
     const bool bLate = isLate(b, now);
     if (aLate != bLate)
         return bLate;
+    const bool aUnderserved = m_shares.isUnderserved(a.workspace, now);
+    const bool bUnderserved = m_shares.isUnderserved(b.workspace, now);
+    if (aUnderserved != bUnderserved)
+        return aUnderserved;
     if (a.priority != b.priority)
         return a.priority < b.priority;
+    const double aService = m_shares.recentService(a.workspace);
+    const double bService = m_shares.recentService(b.workspace);
+    if (aService != bService)
+        return aService < bService;
     if (a.isCallerRetry != b.isCallerRetry)
         return a.isCallerRetry;
     return a.targetAt < b.targetAt;
@@ -137,9 +145,11 @@
     return m_startTokens >= 1.0;
 }
 
-void AdmissionQueue::recordStart()
+void AdmissionQueue::recordStart(const AdmissionTicket &ticket, SteadyTime now)
 {
     ++m_running;
+    if (!ticket.workspace.empty())
+        m_shares.started(ticket.workspace, serviceTime(ticket, now), now);
     if (m_startsPerSecond > 0.0)
         m_startTokens -= 1.0;
 }
@@ -158,18 +168,20 @@
     const WorkRefusal refusalReason =
             m_startsPerSecond > 0.0 ? m_startRateReason : WorkRefusal::Overloaded;
     const double service = serviceTime(ticket, now);
+    m_shares.offered(ticket.workspace, now);
     if (willMissDeadline(ticket, now) && m_running >= std::min(m_options.maxProbes, m_limit))
         return refuse(refusalReason, service);
     recordDemand(ticket.priority, service, now);
     const std::uint32_t ahead = countAhead(ticket, now);
     if (ahead == 0 && mayStart(now)) {
-        recordStart();
+        recordStart(ticket, now);
         return AdmissionDecision{.kind = AdmissionDecision::Kind::Start};
     }
     // More urgent requests that arrive while it waits will overtake it.
-    const double wait =
-            expectedWait(ahead)
-            / std::max(MinFreeSlotFraction, 1.0 - moreUrgentUtilisation(ticket.priority, now));
+    const double overtaking = m_shares.isUnderserved(ticket.workspace, now)
+                                      ? 0.0
+                                      : moreUrgentUtilisation(ticket.priority, now);
+    const double wait = expectedWait(ahead) / std::max(MinFreeSlotFraction, 1.0 - overtaking);
     const double untilTarget = millisecondsBetween(now, ticket.targetAt) - service;
     const double untilDeadline = millisecondsBetween(now, ticket.deadline) - service;
     // A request that becomes late while it waits is overtaken by all that can still be answered in
@@ -240,8 +252,8 @@
                                      return precedes(a, b, now);
                                  });
         due.start.push_back(first->id);
+        recordStart(*first, now);
         m_waiting.erase(first);
-        recordStart();
     }
     return due;
 }
--- a/modules/owner/admission_queue.h
+++ b/modules/owner/admission_queue.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "modules/fleet/messages.h"
+#include "modules/owner/workspace_shares.h"
 #include "servers/timer_service.h"
 
 namespace jacinthshift {
@@ -44,6 +45,7 @@
     /** Bounds of the expected wait that is returned with a refusal. */
     std::chrono::milliseconds minRetryAfter{40};
     std::chrono::milliseconds maxRetryAfter{1'000};
+    WorkspaceSharesOptions shares;
 };
 
 /** A request that asks for admission. */
@@ -51,6 +53,7 @@
 {
     std::uint64_t id = 0;
     std::string route;
+    std::string workspace;      ///< Empty if the request has none.
     std::uint32_t priority = 0; ///< Lower values are more urgent.
     bool isCallerRetry = false; ///< A retry after an earlier refusal.
     SteadyTime targetAt;        ///< An answer after this time is of little use to the caller.
@@ -79,9 +82,11 @@
  * Admission queue of one backend server: decides which requests run, wait or are refused.
  *
  * Requests start while slots are free. Others wait in order of urgency if they are expected to be
- * answered in time. A request that is not is refused at once, so that its caller can try another
- * backend server. A token bucket limits the starts per second on a backend server that is cold or
- * has asked for a lower rate.
+ * answered in time. Among requests of equal urgency, those of the workspace that received the least
+ * service come first; a workspace that is served much less than all others precedes more urgent
+ * ones. A request that is not expected to be answered in time is refused at once, so that its
+ * caller can try another backend server. A token bucket limits the starts per second on a backend
+ * server that is cold or has asked for a lower rate.
  */
 class AdmissionQueue
 {
@@ -109,6 +114,7 @@
     /** Why requests are refused while the start rate is limited. */
     WorkRefusal m_startRateReason = WorkRefusal::Cold;
     SteadyTime m_lastSampleAt;
+    WorkspaceShares m_shares;
 
     // Times of type double are in milliseconds.
     double serviceTime(const AdmissionTicket &ticket, SteadyTime now) const;
@@ -124,11 +130,14 @@
     /** Returns the recent demand of more urgent requests, as a fraction of all slots. */
     double moreUrgentUtilisation(std::uint32_t priority, SteadyTime now) const;
     bool mayStart(SteadyTime now);
-    void recordStart();
+    void recordStart(const AdmissionTicket &ticket, SteadyTime now);
     AdmissionDecision refuse(WorkRefusal reason, double wait) const;
 
 public:
-    explicit AdmissionQueue(const AdmissionQueueOptions &options) : m_options(options) {}
+    explicit AdmissionQueue(const AdmissionQueueOptions &options)
+        : m_options(options), m_shares(options.shares)
+    {
+    }
 
     /** Sets how many requests may run at once. */
     void setLimit(std::uint32_t limit) { m_limit = limit; }
--- a/modules/owner/backend_owner.cpp
+++ b/modules/owner/backend_owner.cpp
@@ -375,6 +375,7 @@
     const AdmissionDecision decision =
             m_admission.offer(AdmissionTicket{.id = id,
                                               .route = workRequest.route,
+                                              .workspace = workRequest.workspace,
                                               .priority = workRequest.priority,
                                               .isCallerRetry = workRequest.isCallerRetry,
                                               .targetAt = now + workRequest.targetTimeLeft,
