--- a/core/event.cpp
+++ b/core/event.cpp
@@ -32,6 +32,8 @@
             {Event::OperatorRecordIgnored, "OperatorRecordIgnored", EventLevel::Warning, true},
             {Event::TrafficConfigInForce, "TrafficConfigInForce", EventLevel::Info, false},
             {Event::LogRestored, "LogRestored", EventLevel::Warning, false},
+            {Event::KeysUnverified, "KeysUnverified", EventLevel::Warning, false},
+            {Event::KeysVerified, "KeysVerified", EventLevel::Info, false},
             {Event::ReleaseStarted, "ReleaseStarted", EventLevel::Info, false},
             {Event::ReleaseStepProposed, "ReleaseStepProposed", EventLevel::Info, false},
             {Event::ReleaseAdvanced, "ReleaseAdvanced", EventLevel::Info, false},
--- a/core/event.h
+++ b/core/event.h
@@ -40,6 +40,8 @@
     OperatorRecordIgnored = 2015,
     TrafficConfigInForce = 2016,
     LogRestored = 2017,
+    KeysUnverified = 2020,
+    KeysVerified = 2021,
 
     ReleaseStarted = 3001,
     ReleaseStepProposed = 3002,
--- a/modules/fleet/message_codec.cpp
+++ b/modules/fleet/message_codec.cpp
@@ -555,6 +555,41 @@
         decode(reader, elements.emplace_back());
 }
 
+void encode(CborWriter &writer, const KnowledgeQuestionMessage &message)
+{
+    encode(writer, message.number);
+}
+
+void decode(CborReader &reader, KnowledgeQuestionMessage &message)
+{
+    decode(reader, message.number);
+}
+
+void encode(CborWriter &writer, const KnowledgeAnswerMessage &message)
+{
+    if (message.age)
+        encodeFields(writer, message.number, message.configVersion, *message.age);
+    else
+        encodeFields(writer, message.number, message.configVersion);
+}
+
+void decode(CborReader &reader, KnowledgeAnswerMessage &message)
+{
+    constexpr std::uint64_t RequiredFields = 2;
+    const std::uint64_t count = reader.beginArray();
+    if (count < RequiredFields)
+        throw CborError("fields are missing");
+    decode(reader, message.number);
+    decode(reader, message.configVersion);
+    if (count == RequiredFields)
+        return;
+    decode(reader, message.age.emplace());
+    if (message.age->count() < 0)
+        throw CborError("negative age");
+    for (std::uint64_t i = RequiredFields + 1; i < count; ++i)
+        reader.skip();
+}
+
 /** Decodes the fields of the alternative with this number, which must be below the variant size. */
 template <std::size_t Index = 0>
 FleetMessage decodeAlternative(std::size_t number, CborReader &reader)
--- a/tests/support/fake_keyed_log.h
+++ b/tests/support/fake_keyed_log.h
@@ -77,6 +77,7 @@
     bool unavailable = false;        ///< All calls fail with Unavailable.
     bool loseWriteResponses = false; ///< Writes take effect but report Unknown.
     bool silent = false;             ///< Reads are never answered, not even later.
+    bool cutsPages = false;          ///< Pages of records say that more follow.
     int callCount = 0;
     std::uint64_t era = 0;
 
@@ -166,7 +167,7 @@
         } else if (request.fromOffset >= table.records.size()) {
             addPendingRead(request, std::move(callback));
         } else {
-            KeyedPage page{.endOffset = table.records.size(), .era = era};
+            KeyedPage page{.endOffset = table.records.size(), .era = era, .reachesEnd = !cutsPages};
             page.records.assign(table.records.begin()
                                         + static_cast<std::ptrdiff_t>(request.fromOffset),
                                 table.records.end());
