--- a/core/event.h
+++ b/core/event.h
@@ -40,6 +40,12 @@
     OperatorRecordIgnored = 2015,
     TrafficConfigInForce = 2016,
     LogRestored = 2017,
+    UsageDutyTaken = 2030,
+    UsageDutyLost = 2031,
+    UsageSealed = 2032,
+    UsageReported = 2033,
+    UsageIncomplete = 2034,
+    UsageDropped = 2035,
 
     ReleaseStarted = 3001,
     ReleaseStepProposed = 3002,
--- a/modules/fleet/message_codec.cpp
+++ b/modules/fleet/message_codec.cpp
@@ -460,6 +460,52 @@
         message.contacts.push_back(decodeContact(contact));
 }
 
+json encode(const UsageCountsMessage &message)
+{
+    return {message.incarnation, message.window, message.sequence, json(message.counts)};
+}
+
+void decode(const json &source, UsageCountsMessage &message)
+{
+    source.at(0).get_to(message.incarnation);
+    source.at(1).get_to(message.window);
+    source.at(2).get_to(message.sequence);
+    source.at(3).get_to(message.counts);
+}
+
+json encode(const UsageFetchMessage &message)
+{
+    return message.window;
+}
+
+void decode(const json &source, UsageFetchMessage &message)
+{
+    source.get_to(message.window);
+}
+
+json encode(const UsageSumMessage &message)
+{
+    return {message.window, message.processes, json(message.counts)};
+}
+
+void decode(const json &source, UsageSumMessage &message)
+{
+    source.at(0).get_to(message.window);
+    source.at(1).get_to(message.processes);
+    source.at(2).get_to(message.counts);
+}
+
+json encode(const UsageSealedMessage &message)
+{
+    return {message.report.window, json(message.report.counts)};
+}
+
+void decode(const json &source, UsageSealedMessage &message)
+{
+    source.at(0).get_to(message.report.window);
+    source.at(1).get_to(message.report.counts);
+}
+
 /** Decodes the fields of the alternative with this number, which must be below the variant size. */
 template <std::size_t Index = 0>
 FleetMessage decodeAlternative(std::size_t number, const json &fields)
--- a/modules/fleet/messages.h
+++ b/modules/fleet/messages.h
@@ -3,6 +3,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <variant>
 #include <vector>
@@ -299,13 +300,55 @@
     bool domainDone = false;
 };
 
+/** Runs that backend servers began, by workspace. */
+using UsageCounts = std::map<std::string, std::uint64_t>;
+
+/** The counts of one window of time, as they are reported. */
+struct UsageReport
+{
+    std::uint64_t window = 0;
+    UsageCounts counts;
+
+    bool operator==(const UsageReport &) const = default;
+};
+
+/** The runs that the sender's backend server began in a window. Newer counts replace older ones. */
+struct UsageCountsMessage
+{
+    std::uint64_t incarnation = 0; ///< Of the sender's process, which counts from zero.
+    std::uint64_t window = 0;
+    std::uint64_t sequence = 0; ///< Increases with each change of the counts.
+    UsageCounts counts;
+};
+
+/** Requests the counts of the receiver's failure domain. */
+struct UsageFetchMessage
+{
+    std::uint64_t window = 0;
+};
+
+/** The counts of all processes of the sender's failure domain, as far as it knows them. */
+struct UsageSumMessage
+{
+    std::uint64_t window = 0;
+    std::uint32_t processes = 0; ///< Number of processes that have sent counts.
+    UsageCounts counts;
+};
+
+/** Tells the nodes that may report usage that a report was sealed. */
+struct UsageSealedMessage
+{
+    UsageReport report;
+};
+
 /** The order of the alternatives defines their numbers on the wire. */
 using FleetMessage =
         std::variant<GreetingMessage, StatusMessage, WorkCallMessage, WorkResultMessage,
                      WorkCancelMessage, WorkResumeMessage, TableFetchMessage, TableRecordsMessage,
                      VersionEvidenceMessage, CrashSuspectMessage, RolloutProgressMessage,
                      ProbeMessage, ContactsFetchMessage, ContactsMessage, ResponsePartMessage,
-                     EvidenceBatchMessage, BackendLeftMessage, KnownCrashesMessage>;
+                     EvidenceBatchMessage, BackendLeftMessage, KnownCrashesMessage,
+                     UsageCountsMessage, UsageFetchMessage, UsageSumMessage, UsageSealedMessage>;
 
 /** Returns the name used in logs. */
 std::string_view refusalName(WorkRefusal refusal);
--- a/modules/owner/backend_owner.cpp
+++ b/modules/owner/backend_owner.cpp
@@ -473,6 +473,7 @@
                                                                   names.requestId))}};
     work.call = m_client.send(options, buildBackendRequest(work, timeLeft),
                               [this, id](HttpResult result) { answered(id, std::move(result)); });
+    m_observer.runStarted(work.request.workspace, now);
     probeForCold();
 }
 
@@ -489,6 +490,8 @@
     const Work work = found->second;
     const WorkResult outcome = classify(work, std::move(result));
     const bool ran = outcome.verdict != Verdict::NotRun;
+    if (!ran)
+        m_observer.runRejected(work.request.workspace, work.startedAt);
     m_admission.finished(work.request.route,
                          isSample && ran ? serviceTime : std::chrono::microseconds(0), now);
     recordEvidence(work, outcome, serviceTime);
--- a/modules/owner/backend_owner.h
+++ b/modules/owner/backend_owner.h
@@ -89,6 +89,10 @@
     virtual void requestSuspected(std::uint64_t fingerprint, const std::string &backend) = 0;
     /** A suspected request succeeded. */
     virtual void requestCleared(std::uint64_t fingerprint) = 0;
+    /** A request was handed to the backend server. */
+    virtual void runStarted(const std::string & /*workspace*/, SteadyTime /*at*/) {}
+    /** The backend server has certainly not run a request that it was handed. */
+    virtual void runRejected(const std::string & /*workspace*/, SteadyTime /*startedAt*/) {}
 };
 
 /**
--- a/modules/yaml/yaml_section.cpp
+++ b/modules/yaml/yaml_section.cpp
@@ -217,6 +217,11 @@
     return {require(key), m_file, key, *m_problems};
 }
 
+YamlSection YamlSection::optionalSection(const std::string &key)
+{
+    return {find(key), m_file, key, *m_problems};
+}
+
 std::vector<YamlSection> YamlSection::sections(const std::string &key)
 {
     std::vector<YamlSection> result;
--- a/modules/yaml/yaml_section.h
+++ b/modules/yaml/yaml_section.h
@@ -77,6 +77,8 @@
                        std::size_t fallback);
     /** Returns the mapping below a key. */
     YamlSection section(const std::string &key);
+    /** Returns the mapping below a key, or an empty one if the key is missing. */
+    YamlSection optionalSection(const std::string &key);
     /** Returns the entries of a list of mappings. */
     std::vector<YamlSection> sections(const std::string &key);
     /** Adds a problem for each key that was not read. */
--- a/node/mesh_metrics.cpp
+++ b/node/mesh_metrics.cpp
@@ -37,6 +37,7 @@
             [&network](const auto &entry) { return network.isReachable(entry.second); });
     appendMetric("config_version", sources.configVersion);
     appendMetric("operator_table_end", sources.table.end());
+    appendMetric("usage_holder", sources.reportsUsage ? 1 : 0);
     appendMetric("operator_table_era", sources.table.position().era);
     appendMetric("log_reachable", sources.follower.isReachable() ? 1 : 0);
     appendMetric("log_answer_age_ms", sources.follower.answerAge().count());
--- a/node/mesh_metrics.h
+++ b/node/mesh_metrics.h
@@ -28,6 +28,7 @@
     std::size_t openRequests = 0;
     std::uint64_t orphanedCalls = 0;
     std::size_t crashSuspects = 0;
+    bool reportsUsage = false; ///< Whether this node holds the duty of reporting usage.
     /** Calls to the platform's store, by outcome. */
     const std::map<std::string, std::uint64_t> &storeCalls;
 };
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -22,12 +22,15 @@
 #include "modules/owner/backend_owner.h"
 #include "modules/owner/crash_exchange.h"
 #include "modules/rollout/rollout_controller.h"
+#include "modules/usage/usage_service.h"
 #include "node/loop_monitor.h"
 #include "node/mesh_metrics.h"
 #include "node/node_discovery.h"
+#include "platform/http_usage_receiver.h"
 #include "platform/record_codec.h"
 #include "platform/store_client.h"
 #include "platform/store_rollout_register.h"
+#include "platform/store_usage_register.h"
 #include "platform/wire_names.h"
 
 namespace jacinthshift {
@@ -64,6 +67,8 @@
 // Share of the VM's link for large responses to other nodes. The rest is for all other messages.
 constexpr double LargeResponseShare = 0.92;
 constexpr double BytesPerMegabit = 125'000.0;
+// A node that has lost the duty of reporting usage waits this much longer than the lease.
+constexpr std::chrono::milliseconds LeaseMargin{500};
 
 std::uint64_t currentUnixMilliseconds()
 {
@@ -150,6 +155,9 @@
     TableFollower follower;
     TableSync tableSync;
     NodeDiscovery discovery;
+    /** The reports of usage; absent where none are asked for. */
+    struct UsageReporting;
+    std::unique_ptr<UsageReporting> usage;
     BeastHttpServer callerServer;
     BeastHttpServer readinessServer;
     BeastHttpServer controlServer;
@@ -168,7 +176,7 @@
     Timer shutdownTimer;
 
     Components(const MeshSettings &nodeSettings, const std::string &file);
-    ~Components() override { g_main_loop_unref(loop); }
+    ~Components() override;
     Components(const Components &) = delete;
     Components &operator=(const Components &) = delete;
 
@@ -195,10 +203,52 @@
         crashes.report(fingerprint, backend);
     }
     void requestCleared(std::uint64_t fingerprint) override { crashes.reportCleared(fingerprint); }
+    void runStarted(const std::string &workspace, SteadyTime at) override;
+    void runRejected(const std::string &workspace, SteadyTime startedAt) override;
     void messageReceived(const std::string &node, const FleetMessage &message) override;
     void linksChanged(const std::string &) override {}
 };
 
+/** Counts usage and reports it to the platform. */
+struct MeshNode::Components::UsageReporting
+{
+    BeastHttpClient http;
+    StoreUsageRegister usageRegister;
+    HttpUsageReceiver receiver;
+    UsageService service;
+
+    explicit UsageReporting(Components &node)
+        : http(BeastHttpClientOptions{.localAddress = node.settings.links.address,
+                                      .dropIdleAfterTimeout = true})
+        , usageRegister(node.storeClient)
+        , receiver(HttpUsageReceiverOptions{.server = node.settings.usage.platform}, http)
+        , service(UsageServiceOptions{.duty = {.node = node.settings.node,
+                                               .windowLength = node.settings.usage.window,
+                                               .giveUpDelay = 2 * node.settings.usage.late,
+                                               .takeAgainDelay =
+                                                       node.settings.usage.lease + LeaseMargin}},
+                  node.network, node.timers, usageRegister, receiver)
+    {
+    }
+};
+
+MeshNode::Components::~Components()
+{
+    g_main_loop_unref(loop);
+}
+
+void MeshNode::Components::runStarted(const std::string &workspace, SteadyTime at)
+{
+    if (usage != nullptr)
+        usage->service.runStarted(workspace, at);
+}
+
+void MeshNode::Components::runRejected(const std::string &workspace, SteadyTime startedAt)
+{
+    if (usage != nullptr)
+        usage->service.runRejected(workspace, startedAt);
+}
+
 namespace {
 
 ForwarderOptions forwarderOptions(const MeshSettings &settings, std::uint64_t randomSeed)
@@ -269,6 +319,8 @@
     , controlServer(HttpServerOptions{.serveClosedCallers = true})
     , metricsServer(HttpServerOptions{.serveClosedCallers = true})
 {
+    if (settings.usage.platform.isValid())
+        usage = std::make_unique<UsageReporting>(*this);
     network.addObserver(*this);
     table.setListener([this](const KeyedRecord &record) { handleOperatorRecord(record); });
     table.setRestoreListener([this](std::uint64_t era) { logRestored(era); });
@@ -337,6 +389,8 @@
     logEvent(Event::LogRestored, {{"era", era}, {"end", table.end()}});
     discovery.logRestored();
     rollouts.logRestored();
+    if (usage != nullptr)
+        usage->service.logRestored();
 }
 
 void MeshNode::Components::installPendingConfig()
@@ -465,6 +519,7 @@
                             .openRequests = forwarder.openRequests(),
                             .orphanedCalls = callServer.orphanedCalls(),
                             .crashSuspects = poison.size(),
+                            .reportsUsage = usage != nullptr && usage->service.isHolder(),
                             .storeCalls = storeClient.callCounts()});
 }
 
--- a/node/mesh_settings.cpp
+++ b/node/mesh_settings.cpp
@@ -1,9 +1,31 @@
 #include "node/mesh_settings.h"
 
+#include <algorithm>
+
 #include "core/text.h"
+#include "platform/wire_names.h"
 
 namespace jacinthshift {
 
+namespace {
+
+void readUsage(YamlSection &root, UsageSettings &settings)
+{
+    YamlSection usage = root.optionalSection("usage");
+    const Endpoint platform = usage.endpoint("platform", Endpoint());
+    const std::vector<std::string> duties = usage.stringList("duties");
+    if (std::find(duties.begin(), duties.end(), wire::UsageDuty) != duties.end())
+        settings.platform = platform;
+    settings.window = usage.seconds("window_seconds", settings.window);
+    settings.late = usage.seconds("late_seconds", settings.late);
+    settings.lease = usage.seconds("lease_seconds", settings.lease);
+    if (settings.window < std::chrono::seconds(1))
+        usage.addProblem("window_seconds", "window_seconds must be at least 1");
+    usage.reportUnknownKeys();
+}
+
+} // namespace
+
 MeshSettings readMeshSettings(const std::string &file, Problems &problems)
 {
     MeshSettings settings;
@@ -46,6 +68,7 @@
     settings.processorShare = limits.nonNegativeNumber("processor_share", settings.processorShare);
     settings.linkMegabits = limits.nonNegativeNumber("link_megabits", settings.linkMegabits);
     limits.reportUnknownKeys();
+    readUsage(root, settings.usage);
     settings.logLevel =
             static_cast<EventLevel>(root.choice("log_level", {"debug", "info", "warning", "error"},
                                                 static_cast<std::size_t>(EventLevel::Info)));
--- a/node/mesh_settings.h
+++ b/node/mesh_settings.h
@@ -11,6 +11,15 @@
 
 namespace jacinthshift {
 
+/** When and where usage is reported. */
+struct UsageSettings
+{
+    Endpoint platform; ///< Invalid if usage is not reported.
+    std::chrono::milliseconds window{5'000};
+    std::chrono::milliseconds late{10'000}; ///< From the end of a window until its report is due.
+    std::chrono::milliseconds lease{3'000}; ///< Within this time the duty does not come back.
+};
+
 /** The settings of a node on the users' platform, read from its YAML file. */
 struct MeshSettings
 {
@@ -39,6 +48,7 @@
     std::uint32_t maxFiles = 1'024; ///< File descriptors that the process may open.
     double processorShare = 1.0;    ///< Processor time that the process may use, in cores.
     double linkMegabits = 1'000.0;  ///< Bandwidth of the VM's network link in Mbit/s.
+    UsageSettings usage;
     EventLevel logLevel = EventLevel::Info;
 };
 
--- a/node/tests/test_mesh_settings.cpp
+++ b/node/tests/test_mesh_settings.cpp
@@ -51,8 +51,11 @@
          ++match) {
         result.append(rest, (*match)[0].first);
         const std::string field = (*match)[1];
+        const bool isList = field == "cloud.duties";
         const bool isJson = (*match)[2].matched;
-        if (field != withoutField)
+        if (field != withoutField && isList)
+            result += "[\"name\"]";
+        else if (field != withoutField)
             result += isJson ? joinText("\"", exampleValue(field), "\"") : exampleValue(field);
         rest = (*match)[0].second;
     }
