--- a/core/event.h
+++ b/core/event.h
@@ -42,6 +42,12 @@
     LogRestored = 2017,
     KeysUnverified = 2020,
     KeysVerified = 2021,
+    UsageDutyTaken = 2030,
+    UsageDutyLost = 2031,
+    UsageSealed = 2032,
+    UsageReported = 2033,
+    UsageIncomplete = 2034,
+    UsageDropped = 2035,
 
     ReleaseStarted = 3001,
     ReleaseStepProposed = 3002,
--- a/modules/fleet/message_codec.cpp
+++ b/modules/fleet/message_codec.cpp
@@ -213,6 +213,8 @@
 void decode(CborReader &reader, VersionEvidenceMessage &value);
 void encode(CborWriter &writer, const CrashSuspectMessage &value);
 void decode(CborReader &reader, CrashSuspectMessage &value);
+void encode(CborWriter &writer, const UsageCounts &value);
+void decode(CborReader &reader, UsageCounts &value);
 
 using LatencyBuckets = std::array<std::uint64_t, LatencyBucketCount>;
 
@@ -590,6 +592,67 @@
         reader.skip();
 }
 
+// The names and numbers of the workspaces, by turns.
+void encode(CborWriter &writer, const UsageCounts &counts)
+{
+    writer.beginArray(2 * counts.size());
+    for (const auto &[workspace, runs] : counts) {
+        writer.writeText(workspace);
+        writer.writeUnsigned(runs);
+    }
+}
+
+void decode(CborReader &reader, UsageCounts &counts)
+{
+    const std::uint64_t count = reader.beginArray();
+    for (std::uint64_t i = 0; i + 1 < count; i += 2) {
+        const std::string workspace(reader.takeText());
+        counts[workspace] = reader.takeUnsigned();
+    }
+    if (count % 2 != 0)
+        throw CborError("a workspace has no number");
+}
+
+void encode(CborWriter &writer, const UsageCountsMessage &message)
+{
+    encodeFields(writer, message.incarnation, message.window, message.sequence, message.counts);
+}
+
+void decode(CborReader &reader, UsageCountsMessage &message)
+{
+    decodeFields(reader, message.incarnation, message.window, message.sequence, message.counts);
+}
+
+void encode(CborWriter &writer, const UsageFetchMessage &message)
+{
+    encode(writer, message.window);
+}
+
+void decode(CborReader &reader, UsageFetchMessage &message)
+{
+    decode(reader, message.window);
+}
+
+void encode(CborWriter &writer, const UsageSumMessage &message)
+{
+    encodeFields(writer, message.window, message.processes, message.counts);
+}
+
+void decode(CborReader &reader, UsageSumMessage &message)
+{
+    decodeFields(reader, message.window, message.processes, message.counts);
+}
+
+void encode(CborWriter &writer, const UsageSealedMessage &message)
+{
+    encodeFields(writer, message.report.window, message.report.counts);
+}
+
+void decode(CborReader &reader, UsageSealedMessage &message)
+{
+    decodeFields(reader, message.report.window, message.report.counts);
+}
+
 /** Decodes the fields of the alternative with this number, which must be below the variant size. */
 template <std::size_t Index = 0>
 FleetMessage decodeAlternative(std::size_t number, CborReader &reader)
