Tests for hostile clients, one case a test

Change: hostile_tests plays one crowd of clients against two nodes that run as processes with the limits of the smallest VM, and checks that both nodes live, that their peak resident memory is at most 160 MB and fewer than 400 descriptors are open, and that one ordinary request is answered afterwards (through the links for the cases on the link address). 160 MB is also the RLIMIT_DATA of the nodes, and 400 their RLIMIT_NOFILE and max_files. The product is unchanged.

--- /dev/null
+++ b/tests/hostile/hostile_bench.cpp
@@ -0,0 +1,306 @@
+#include "tests/hostile/hostile_bench.h"
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <optional>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "core/duration.h"
+#include "core/text.h"
+#include "platform/tests/record_encoder.h"
+#include "platform/wire_names.h"
+#include "tests/hostile/hostile_crowd.h"
+
+namespace jacinthshift {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const HeaderNames names = wire::headerNames();
+constexpr const char *Host = "hostile.example";
+constexpr const char *BackendId = "i-hostile";
+/** The memory of the smallest VM. It limits the data of the process and its resident memory. */
+constexpr std::size_t MemoryMegabytes = 160;
+constexpr std::size_t BytesPerMegabyte = 1024UL * 1024UL;
+/** Files that the process may open: the limit of the process and max_files of its settings. */
+constexpr std::size_t MaxFiles = 400;
+constexpr std::size_t LongBytes = 6 * BytesPerMegabyte; ///< Response to a request below /long/.
+constexpr std::size_t PageBytes = 256UL * 1024UL;       ///< Response to a request below /page/.
+constexpr std::size_t ShortBytes = 600;
+constexpr milliseconds StepPeriod{5};
+constexpr milliseconds SamplePeriod{50};
+constexpr milliseconds HeartbeatPeriod{500};
+/** The crowd ends when it cannot send anything for this time. */
+constexpr milliseconds StallTime{3'000};
+constexpr seconds MaxPlayTime{40};
+constexpr seconds StartTime{20};
+/** Only a node that hangs needs longer; it may refuse requests until the crowd is refused. */
+constexpr seconds ServeTime{60};
+constexpr milliseconds RetryPause{300};
+
+std::size_t peakResidentBytes(pid_t pid)
+{
+    std::ifstream file(joinText("/proc/", pid, "/status"));
+    std::string word;
+    std::size_t kilobytes = 0;
+    while (file >> word) {
+        if (word == "VmHWM:" && file >> kilobytes)
+            return kilobytes * 1024;
+    }
+    return 0;
+}
+
+std::size_t openDescriptors(pid_t pid)
+{
+    std::error_code error;
+    const std::filesystem::directory_iterator entries(joinText("/proc/", pid, "/fd"), error);
+    return error ? 0 : static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
+std::uint16_t portOf(HostileTarget target)
+{
+    if (target == HostileTarget::Callers)
+        return 8080;
+    return target == HostileTarget::Control ? 8082 : 7000;
+}
+
+} // namespace
+
+HostileBench::HostileBench(std::string binaryDirectory)
+    : m_binaryDirectory(std::move(binaryDirectory)), m_store(m_timers)
+{
+    m_directory = joinText(std::filesystem::temp_directory_path().string(),
+                           "/jacinthshift-hostile-", getpid());
+    std::filesystem::remove_all(m_directory);
+    std::filesystem::create_directories(m_directory);
+    for (std::size_t i = 0; i < 2; ++i) {
+        auto node = std::make_unique<Node>();
+        node->name = joinText("n", i);
+        node->address = joinText(m_network.prefix(), ".1.", i + 1);
+        m_nodes.push_back(std::move(node));
+    }
+}
+
+Endpoint HostileBench::endpoint(std::size_t node, std::uint16_t port) const
+{
+    return Endpoint{m_nodes[node]->address, port};
+}
+
+void HostileBench::writeSettings(const Node &node) const
+{
+    const auto listen = [&node](std::uint16_t port) {
+        return Endpoint{node.address, port}.text();
+    };
+    std::ofstream file(joinText(m_directory, "/", node.name, ".yaml"));
+    file << "node: " << node.name << "\nfailure_domain: zone-0\nservice: dispatch"
+         << "\nlisten:\n  callers: " << listen(8080) << "\n  readiness: " << listen(8081)
+         << "\n  control: " << listen(8082) << "\n  links: " << listen(7000)
+         << "\n  metrics: " << listen(9901) << "\nplatform:\n  store: " << m_network.prefix()
+         << ".250.1:6000\nseeds: [" << endpoint(0, 8082).text() << ", " << endpoint(1, 8082).text()
+         << "]\nlimits:\n  max_files: " << MaxFiles << "\n";
+}
+
+bool HostileBench::startNode(Node &node) const
+{
+    writeSettings(node);
+    // The shell sets the limits and then becomes the node.
+    const std::string command =
+            joinText("ulimit -d ", MemoryMegabytes * 1024, "; ulimit -n ", MaxFiles, "; exec ",
+                     m_binaryDirectory, "/jacinthshift mesh-node --settings=", m_directory, "/",
+                     node.name, ".yaml");
+    return node.process.start({"/bin/sh", "-c", command},
+                              joinText(m_directory, "/", node.name, ".log"));
+}
+
+void HostileBench::publishConfig()
+{
+    TrafficConfig config{.version = 1,
+                         .limits = {.maxHeaderBytes = 16'384,
+                                    .maxBodyBytes = BytesPerMegabyte,
+                                    .headerTimeout = milliseconds(1'000),
+                                    .idleTimeout = milliseconds(3'000)}};
+    for (const char *name : {"long", "page", "book"}) {
+        const bool idempotent = std::string_view(name) != "book";
+        config.routes.push_back({.name = name,
+                                 .host = Host,
+                                 .prefix = joinText("/", name, "/"),
+                                 .idempotent = idempotent,
+                                 .timeout = milliseconds(10'000),
+                                 .targetLatency = milliseconds(1'000),
+                                 .maxAttempts = 3,
+                                 .parts = {{.service = "dispatch"}}});
+    }
+    config.services["dispatch"] = ServicePolicy{
+            .healthPath = "/health", .maxConnections = 100, .coldRequestsPerSecond = 1'000.0};
+    m_store.put(wire::OperatorTable, std::string(wire::ConfigKey), encodeConfig(config));
+}
+
+bool HostileBench::startBackend()
+{
+    m_startedAt = static_cast<std::uint64_t>(unixMilliseconds(std::chrono::system_clock::now()));
+    const absl::Status status = m_backend.listen(
+            endpoint(0, 9000),
+            [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
+                serve(request, responder);
+            });
+    m_heartbeatTimer =
+            Timer(m_timers, m_timers.startPeriodic(HeartbeatPeriod, [this] { sendHeartbeat(); }));
+    return status.ok();
+}
+
+void HostileBench::serve(const HttpRequest &request,
+                         const std::shared_ptr<HttpResponder> &responder) const
+{
+    HttpResponse response{.headers = {{names.instance, BackendId}, {names.load, "0,0,64"}}};
+    if (request.target == "/health") {
+        responder->respond(response);
+        return;
+    }
+    const std::string_view id = findHeader(request.headers, names.requestId);
+    if (!id.empty())
+        response.headers.push_back({names.requestId, std::string(id)});
+    std::size_t bytes = ShortBytes;
+    if (request.target.starts_with("/long/"))
+        bytes = LongBytes;
+    else if (request.target.starts_with("/page/"))
+        bytes = PageBytes;
+    response.body = std::string(bytes, 'r');
+    response.headers.push_back({names.seal, "0"});
+    responder->respond(response);
+}
+
+void HostileBench::sendHeartbeat()
+{
+    const BackendHeartbeat heartbeat{.id = BackendId,
+                                     .service = "dispatch",
+                                     .version = "v1",
+                                     .domain = "zone-0",
+                                     .endpoint = endpoint(0, 9000),
+                                     .slots = 64,
+                                     .sequence = ++m_heartbeatSequence,
+                                     .startedAt = m_startedAt};
+    m_http.send(HttpSendOptions{.server = endpoint(0, 8082), .timeout = milliseconds(1'000)},
+                HttpRequest{.method = "PUT",
+                            .target = joinText(wire::InstancesPath, BackendId),
+                            .headers = {{"Content-Type", "application/json"}},
+                            .body = encodeHeartbeat(heartbeat)},
+                [](const HttpResult &) {});
+}
+
+void HostileBench::sampleNodes()
+{
+    for (const std::unique_ptr<Node> &node : m_nodes) {
+        node->lives = node->lives && node->process.isRunning();
+        if (!node->lives)
+            continue;
+        node->peakMemory = std::max(node->peakMemory, peakResidentBytes(node->process.pid()));
+        node->peakDescriptors =
+                std::max(node->peakDescriptors, openDescriptors(node->process.pid()));
+    }
+}
+
+bool HostileBench::nodesLive() const
+{
+    return std::all_of(m_nodes.begin(), m_nodes.end(),
+                       [](const auto &node) { return node->lives; });
+}
+
+bool HostileBench::waitFor(milliseconds limit, const std::function<bool()> &condition)
+{
+    bool timedOut = false;
+    const Timer timer(m_timers, m_timers.startOnce(limit, [&timedOut] { timedOut = true; }));
+    while (!timedOut && !condition())
+        g_main_context_iteration(nullptr, TRUE);
+    return !timedOut;
+}
+
+bool HostileBench::isServed(std::size_t node, seconds limit)
+{
+    bool served = false;
+    std::uint64_t number = 0;
+    HttpCallId call = HttpCallId::None;
+    std::function<void()> sendNext;
+    Timer retryTimer;
+    sendNext = [&] {
+        call = m_http.send(
+                HttpSendOptions{.server = endpoint(node, 8080), .timeout = seconds(5)},
+                HttpRequest{.method = "POST",
+                            .target = joinText("/book/ordinary-", ++number),
+                            .headers = {{"Host", Host},
+                                        {names.requestId, joinText("ordinary-", number)},
+                                        {names.deadline, "5000"}},
+                            .body = std::string(200, 'b')},
+                [&](const HttpResult &result) {
+                    served = result.verdict == Verdict::Done && result.response.status == 200;
+                    if (!served)
+                        retryTimer = Timer(m_timers, m_timers.startOnce(RetryPause, sendNext));
+                });
+    };
+    sendNext();
+    waitFor(limit, [this, &served] { return served || !nodesLive(); });
+    m_http.cancel(call);
+    return served;
+}
+
+bool HostileBench::start()
+{
+    if (!m_store.listen({m_network.prefix() + ".250.1", 6000}).ok() || !startBackend())
+        return false;
+    publishConfig();
+    for (const std::unique_ptr<Node> &node : m_nodes) {
+        if (!startNode(*node))
+            return false;
+    }
+    m_sampleTimer =
+            Timer(m_timers, m_timers.startPeriodic(SamplePeriod, [this] { sampleNodes(); }));
+    return isServed(0, StartTime) && isServed(1, StartTime);
+}
+
+std::vector<std::string> HostileBench::play(const HostileCase &hostileCase)
+{
+    HostileCrowd crowd(hostileCase, endpoint(0, portOf(hostileCase.target)));
+    const Timer stepTimer(m_timers, m_timers.startPeriodic(StepPeriod, [&crowd] { crowd.step(); }));
+    std::size_t sent = 0;
+    SteadyTime progressAt = m_timers.now();
+    waitFor(MaxPlayTime, [&] {
+        if (crowd.sentBytes() != sent)
+            progressAt = m_timers.now();
+        sent = crowd.sentBytes();
+        return crowd.isDone() || !nodesLive() || m_timers.now() - progressAt > StallTime;
+    });
+    waitFor(hostileCase.holdTime, [this] { return !nodesLive(); });
+    // Requests to the node with the attacked link port come over its links from the other node.
+    const bool served = isServed(hostileCase.target == HostileTarget::Links ? 1 : 0, ServeTime);
+    sampleNodes();
+    std::vector<std::string> failures;
+    if (!served)
+        failures.emplace_back("no ordinary request was answered afterwards");
+    for (const std::unique_ptr<Node> &node : m_nodes) {
+        if (!node->lives)
+            failures.push_back(
+                    joinText(node->name, " ended with status ", node->process.exitCode()));
+        if (node->peakMemory > MemoryMegabytes * BytesPerMegabyte)
+            failures.push_back(joinText(node->name, " used more than ", MemoryMegabytes, " MB"));
+        if (node->peakDescriptors >= MaxFiles)
+            failures.push_back(joinText(node->name, " opened all ", MaxFiles, " descriptors"));
+    }
+    return failures;
+}
+
+std::string HostileBench::summary() const
+{
+    std::string text;
+    for (const std::unique_ptr<Node> &node : m_nodes)
+        text += joinText(text.empty() ? "" : "; ", node->name, ": ",
+                         node->peakMemory / BytesPerMegabyte, " MB resident, ",
+                         node->peakDescriptors, " descriptors at most");
+    return text;
+}
+
+} // namespace jacinthshift
