Malformed heads are refused: status 000, repeated lengths

Cause: Boost.Beast accepts any three digits as a status. The client took 000 to 099 and 101 for informational responses, dropped them and waited until the deadline; where the end of the connection ended the response, it passed it on as status 0. It passed on 600 to 999. Client and server accepted a Content-Length given more than once with equal values.

Change: a response with a status outside 100 to 599, with an unsolicited 101 or with a repeated Content-Length is malformed: it may have run, and its connection is closed. A response that the end of the connection ends must also match its request. BackendOwner treats a status that is not a final one as malformed whatever the HTTP client, which counts as a failure of the backend server. A request with a repeated Content-Length gets 400.

--- a/drivers/beast/beast_http_client.cpp
+++ b/drivers/beast/beast_http_client.cpp
@@ -27,6 +27,9 @@
 constexpr std::size_t MaxUnparsedBytes = MaxHeaderBytes;
 /** Responses dropped in one exchange: 1xx ones, and late ones to earlier requests. */
 constexpr std::uint32_t MaxDroppedResponses = 16;
+constexpr unsigned MinStatus = 100;
+constexpr unsigned MaxStatus = 599;
+constexpr unsigned StatusSwitchingProtocols = 101; ///< No request asks for it.
 
 /**
  * Returns the idle time that the Keep-Alive header allows, reduced by a margin; zero if the header
@@ -104,6 +107,8 @@
     bool addInput(const char *data, std::size_t size);
     /** Parses the input up to the end of the response. Returns false if it is malformed. */
     bool parseInput();
+    /** Returns false for a status that is none or was not asked for, and for an unclear length. */
+    bool hasValidHead() const;
     /** Returns false for a 1xx response and for one with another correlation value. */
     bool matchesRequest() const;
     void acceptResponse();
@@ -284,7 +289,7 @@
     boost::beast::error_code error;
     if (outcome == SocketResult::Ended && parser->got_some())
         parser->put_eof(error);
-    if (!error && parser->is_done())
+    if (!error && parser->is_done() && matchesRequest())
         acceptResponse();
     else
         fail(HttpFailure::ConnectionLost);
@@ -305,6 +310,8 @@
         boost::beast::error_code error;
         const std::size_t used = parser->put(boost::asio::buffer(input), error);
         input.erase(0, used);
+        if (parser->is_header_done() && !hasValidHead())
+            return false;
         if (error == http::error::need_more)
             return input.size() <= MaxUnparsedBytes;
         if (error)
@@ -319,6 +326,14 @@
     return true;
 }
 
+bool BeastHttpClient::Connection::hasValidHead() const
+{
+    // The parser accepts any three digits.
+    const unsigned status = parser->get().result_int();
+    return status >= MinStatus && status <= MaxStatus && status != StatusSwitchingProtocols
+           && !hasRepeatedLength(parser->get());
+}
+
 bool BeastHttpClient::Connection::matchesRequest() const
 {
     if (parser->get().result_int() < 200)
--- a/drivers/beast/beast_http_server.cpp
+++ b/drivers/beast/beast_http_server.cpp
@@ -279,6 +279,10 @@
             respondWithError(statusForParseError(error));
             return;
         }
+        if (parser->is_header_done() && hasRepeatedLength(parser->get())) {
+            respondWithError(StatusBadRequest);
+            return;
+        }
         if (!holdBody(*serverState)) {
             respondWithError(StatusUnavailable);
             return;
--- a/drivers/beast/http_wire.cpp
+++ b/drivers/beast/http_wire.cpp
@@ -1,5 +1,8 @@
 #include "drivers/beast/http_wire.h"
 
+#include <iterator>
+#include <string_view>
+
 #include <boost/beast/http/status.hpp>
 
 #include "core/text.h"
@@ -67,4 +70,12 @@
     return bytes;
 }
 
+bool hasRepeatedLength(const boost::beast::http::fields &head)
+{
+    const auto [first, last] = head.equal_range(boost::beast::http::field::content_length);
+    if (first == last)
+        return false;
+    return std::next(first) != last || first->value().find(',') != std::string_view::npos;
+}
+
 } // namespace jacinthshift
--- a/drivers/beast/http_wire.h
+++ b/drivers/beast/http_wire.h
@@ -3,6 +3,8 @@
 
 #include <string>
 
+#include <boost/beast/http/fields.hpp>
+
 #include "core/endpoint.h"
 #include "servers/http_message.h"
 
@@ -20,6 +22,12 @@
  */
 std::string serializeResponse(const HttpResponse &response, bool keepAlive);
 
+/**
+ * Returns whether a head gives its Content-Length more than once, also with equal values. The next
+ * receiver may choose another one of them, and would find the message's end elsewhere.
+ */
+bool hasRepeatedLength(const boost::beast::http::fields &head);
+
 } // namespace jacinthshift
 
 #endif // DRIVERS_BEAST_HTTP_WIRE_H
--- a/modules/owner/backend_owner.cpp
+++ b/modules/owner/backend_owner.cpp
@@ -14,12 +14,19 @@
 
 constexpr int StatusMisdirected = 421;
 constexpr int FirstServerError = 500;
+constexpr int LastStatus = 599;
 constexpr int FirstSuccess = 200;
 constexpr int FirstRedirect = 300;
 // Time reserved for the answer's way back, so that it reaches the caller's node before the timeout
 // there.
 constexpr std::chrono::milliseconds AnswerMargin{10};
 
+/** Returns whether a status is one of HTTP and ends an exchange; 1xx ones do not. */
+bool isFinalStatus(int status)
+{
+    return status >= FirstSuccess && status <= LastStatus;
+}
+
 bool isSuccess(int status)
 {
     return status >= FirstSuccess && status < FirstRedirect;
@@ -521,6 +528,11 @@
         outcome.refusal = WorkRefusal::Malformed;
         return outcome;
     }
+    if (!isFinalStatus(result.response.status)) {
+        outcome.verdict = Verdict::MayHaveRun;
+        outcome.refusal = WorkRefusal::Malformed;
+        return outcome;
+    }
     m_connectFailures = 0;
     // A backend server that answers what was sent after the loss has not crashed with it.
     if (work.lifetime == m_lifetime && !m_lostRequests.empty()
--- a/modules/owner/tests/test_backend_owner.cpp
+++ b/modules/owner/tests/test_backend_owner.cpp
@@ -176,6 +176,20 @@
     CHECK(fixture.results[0].refusal == WorkRefusal::Malformed);
 }
 
+// Guards against passing on a status that is none, and against one that does not count as a fault.
+TEST_CASE("an answer whose status is not a final one of HTTP is malformed")
+{
+    const int status = GENERATE(0, 99, 101, 199, 600, 1000);
+    CAPTURE(status);
+    OwnerFixture fixture;
+    fixture.run("1");
+    fixture.http.respond(status, {{"Seal", "x"}});
+    CHECK(fixture.results[0].verdict == Verdict::MayHaveRun);
+    CHECK(fixture.results[0].refusal == WorkRefusal::Malformed);
+    REQUIRE(fixture.owner.evidence().size() == 1);
+    CHECK(fixture.owner.evidence()[0].counts.failures == 1);
+}
+
 TEST_CASE("draining refuses new and queued requests, not running ones")
 {
     OwnerFixture fixture;
