--- a/drivers/beast/http_wire.cpp
+++ b/drivers/beast/http_wire.cpp
@@ -78,4 +78,10 @@
     return std::next(first) != last || first->value().find(',') != std::string_view::npos;
 }
 
+void addConnectionClose(std::string &response)
+{
+    const std::string_view endOfLine = "\r\n";
+    response.insert(response.find(endOfLine) + endOfLine.size(), "Connection: close\r\n");
+}
+
 } // namespace jacinthshift
--- a/drivers/beast/http_wire.h
+++ b/drivers/beast/http_wire.h
@@ -28,6 +28,9 @@
  */
 bool hasRepeatedLength(const boost::beast::http::fields &head);
 
+/** Adds "Connection: close" to the bytes of a response that was serialized without it. */
+void addConnectionClose(std::string &response);
+
 } // namespace jacinthshift
 
 #endif // DRIVERS_BEAST_HTTP_WIRE_H
