One account of held bytes, bounds on trailers, links and small servers

Change: - ByteAccount (core/): one account of a node's unread responses and unfinished frames. Above its limit, the holder furthest behind 64 KB/s is evicted. Default limit: a quarter of the memory, at most 64 MB; setting limits.held_megabytes; metrics held_bytes and holders_evicted_total; event E5030 HolderEvicted (limited). - Input that the parser cannot take is bounded by maxHeaderBytes; above it the request gets 431. - The memory from which shares are derived is RLIMIT_DATA if that is less than the VM's. - Links: at most a fifth of max_files (32 to 1,024), 10 s for the handshake of an incoming one, no room for the announced length of a frame. - Control, readiness and metrics addresses: 1/16, 1/32 and 1/32 of max_files (8 to 128); at the bound, a new connection replaces the oldest one that was silent for a second.

Not in the account: bodies, unparsed input (64 KB a connection), parts in flight, queued frames, and up to 64 KB that arrive in one read with the end of a frame. There is no minimum rate of a body.

--- a/drivers/beast/beast_server_connection.cpp
+++ b/drivers/beast/beast_server_connection.cpp
@@ -47,9 +47,41 @@
     , m_estimatedResponseBytes(state->options.maxBufferedResponseBytes
                                / std::max<std::size_t>(state->options.maxRequestsInFlight, 1))
 {
+    m_account = state->options.account;
     resetParser(*state);
 }
 
+BeastServerConnection::~BeastServerConnection()
+{
+    if (m_account != nullptr)
+        m_account->release(*this);
+}
+
+void BeastServerConnection::evict()
+{
+    m_evicted = true;
+    EpollLoop::instance().defer([weak = weak_from_this()] {
+        if (const std::shared_ptr<BeastServerConnection> self = weak.lock())
+            self->close();
+    });
+}
+
+void BeastServerConnection::accountOutput()
+{
+    if (m_account == nullptr || m_evicted)
+        return;
+    if (m_output.empty()) {
+        m_account->release(*this);
+        return;
+    }
+    const SteadyTime now = EpollLoop::instance().now();
+    if (std::exchange(m_outputIsNew, false))
+        m_outputSince = now;
+    m_account->hold(*this,
+                    {.bytes = m_output.size(), .progress = m_writtenBytes, .since = m_outputSince},
+                    now);
+}
+
 void BeastServerConnection::resetParser(const BeastServerState &state)
 {
     m_parser.emplace();
@@ -153,6 +185,7 @@
         close();
         return false;
     }
+    m_hasReceived = true;
     if (!m_lingering)
         m_input.append(buffer.data(), received);
     return true;
@@ -172,6 +205,7 @@
     if (m_closed)
         return;
     m_input.erase(0, std::exchange(m_parsedBytes, 0));
+    accountOutput();
     waitForSocket(state);
 }
 
@@ -229,6 +263,7 @@
 
 void BeastServerConnection::outputWritten()
 {
+    m_outputIsNew = true;
     m_timeoutStart = EpollLoop::instance().now();
     if (!m_closesAfterOutput)
         return;
@@ -315,8 +350,14 @@
             rejectInput(state, StatusUnavailable);
             return ParseResult::Failed;
         }
-        if (error)
-            return ParseResult::NeedsInput;
+        if (!error)
+            continue;
+        // The parser takes a chunk's head and the trailer only as a whole.
+        if (unparsedBytes() > state.options.maxHeaderBytes) {
+            rejectInput(state, StatusHeaderTooLarge);
+            return ParseResult::Failed;
+        }
+        return ParseResult::NeedsInput;
     }
     if (!m_parser->is_done())
         return ParseResult::NeedsInput;
@@ -438,6 +479,8 @@
     if (m_closed)
         return;
     m_closed = true;
+    if (m_account != nullptr)
+        m_account->release(*this);
     const std::shared_ptr<BeastServerConnection> self = shared_from_this();
     const std::shared_ptr<BeastServerState> state = m_state.lock();
     m_socket.close();
--- a/drivers/beast/beast_server_connection.h
+++ b/drivers/beast/beast_server_connection.h
@@ -12,6 +12,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include "core/byte_account.h"
 #include "drivers/beast/response_queue.h"
 #include "drivers/tcp/tcp_socket.h"
 #include "servers/http_message.h"
@@ -24,7 +25,8 @@
  * One caller's connection. Passes requests to the handler, several at once if the server allows it,
  * and writes their responses in the order of the requests. See docs/design/http-pipelining.md.
  */
-class BeastServerConnection : public std::enable_shared_from_this<BeastServerConnection>
+class BeastServerConnection final : public ByteHolder,
+                                    public std::enable_shared_from_this<BeastServerConnection>
 {
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
@@ -35,6 +37,11 @@
     std::weak_ptr<BeastServerState> m_state;
     TcpSocket m_socket;
     Wait m_wait = Wait::Nothing;
+    std::shared_ptr<ByteAccount> m_account;
+    bool m_outputIsNew = true; ///< m_output is not in m_account yet.
+    bool m_evicted = false;
+    bool m_hasReceived = false;
+    SteadyTime m_outputSince;
     std::optional<Parser> m_parser;
     std::string m_input;
     std::size_t m_parsedBytes = 0; ///< The part of m_input that the parser has taken.
@@ -93,15 +100,18 @@
     /** Returns how long the current request may have waited before its first byte was read. */
     std::chrono::milliseconds inputDelay();
     void updateEstimate(std::size_t responseBytes);
+    void accountOutput();
 
     std::size_t unparsedBytes() const { return m_input.size() - m_parsedBytes; }
     Wait neededWait(const BeastServerState &state) const;
     void waitForSocket(const BeastServerState &state);
     void resetParser(const BeastServerState &state);
-    void close();
 
 public:
     explicit BeastServerConnection(const std::shared_ptr<BeastServerState> &state);
+    ~BeastServerConnection() override;
+    BeastServerConnection(const BeastServerConnection &) = delete;
+    BeastServerConnection &operator=(const BeastServerConnection &) = delete;
 
     /** Takes ownership of a connected, non-blocking descriptor. */
     void start(int descriptor);
@@ -112,6 +122,12 @@
     bool isExpired(SteadyTime now) const;
     /** Closes the connection, after an error response if a head is incomplete. */
     void expire();
+    /** Closes the connection at the end of the loop iteration. */
+    void evict() override;
+    bool isSilent() const { return !m_hasReceived; }
+    /** Returns when the connection became idle, or was accepted. */
+    SteadyTime timeoutStart() const { return m_timeoutStart; }
+    void close();
 };
 
 } // namespace jacinthshift
--- a/drivers/beast/beast_server_state.cpp
+++ b/drivers/beast/beast_server_state.cpp
@@ -6,9 +6,16 @@
 
 namespace jacinthshift {
 
+namespace {
+
+/** A client that has just connected may not have sent its request yet. */
+constexpr std::chrono::milliseconds MinSilence{1'000};
+
+} // namespace
+
 void BeastServerState::acceptConnection(int descriptor)
 {
-    if (connections.size() >= options.maxConnections) {
+    if (connections.size() >= options.maxConnections && !closeSilentConnection()) {
         // The destructor of the socket closes the connection.
         TcpSocket refused;
         refused.adopt(descriptor);
@@ -20,6 +27,22 @@
     connection->start(descriptor);
 }
 
+bool BeastServerState::closeSilentConnection()
+{
+    if (!options.replacesSilentConnections)
+        return false;
+    ConnectionPointer oldest;
+    for (const auto &[raw, connection] : connections) {
+        if (connection->isSilent()
+            && (oldest == nullptr || connection->timeoutStart() < oldest->timeoutStart()))
+            oldest = connection;
+    }
+    if (oldest == nullptr || EpollLoop::instance().now() - oldest->timeoutStart() < MinSilence)
+        return false;
+    oldest->close();
+    return true;
+}
+
 void BeastServerState::closeExpiredConnections()
 {
     const SteadyTime now = EpollLoop::instance().now();
--- a/drivers/beast/beast_server_state.h
+++ b/drivers/beast/beast_server_state.h
@@ -32,6 +32,8 @@
     bool keepAliveDisabled = false;
 
     void acceptConnection(int descriptor);
+    /** Closes the oldest silent connection. Returns false if there is none. */
+    bool closeSilentConnection();
     /** Closes connections past their idle timeout or header timeout. */
     void closeExpiredConnections();
     bool allowsKeepAlive() const
--- a/drivers/websocket/websocket_link_transport.cpp
+++ b/drivers/websocket/websocket_link_transport.cpp
@@ -14,7 +14,7 @@
 constexpr std::size_t ReadBufferBytes = 64 * 1024;
 
 /** One connection: a TCP socket and the WebSocket session that runs over it. */
-struct Channel
+struct Channel final : ByteHolder
 {
     LinkId id = LinkId::None;
     bool outgoing = false;
@@ -26,6 +26,23 @@
     bool waitingToWrite = false;
     bool flushScheduled = false;
     bool connected = false; ///< The TCP connection is established.
+    std::shared_ptr<ByteAccount> account;
+    std::size_t unfinishedBytes = 0; ///< Received since the last complete frame.
+    SteadyTime unfinishedSince;
+    std::function<void()> evicted;
+
+    Channel() = default;
+    Channel(const Channel &) = delete;
+    Channel &operator=(const Channel &) = delete;
+    ~Channel() override { release(); }
+
+    void evict() override { evicted(); }
+    void release()
+    {
+        unfinishedBytes = 0;
+        if (account != nullptr)
+            account->release(*this);
+    }
 };
 
 } // namespace
@@ -58,6 +75,10 @@
         ChannelPointer channel = std::make_shared<Channel>();
         channel->id = static_cast<LinkId>(++lastId);
         channel->outgoing = outgoing;
+        channel->account = options.account;
+        channel->evicted = [this, weak = std::weak_ptr<Channel>(channel)] {
+            scheduleClose(weak.lock());
+        };
         channels.emplace(channel->id, channel);
         return channel;
     }
@@ -69,10 +90,12 @@
         events.opened = [this, weak] {
             const ChannelPointer opened = weak.lock();
             opened->open = true;
+            opened->release();
             observer->linkOpened(opened->id, opened->outgoing);
         };
         events.frame = [this, weak](const std::string &frame) {
             const ChannelPointer source = weak.lock();
+            source->release();
             if (!source->closed)
                 observer->frameReceived(source->id, frame);
         };
@@ -182,7 +205,16 @@
             scheduleClose(channel);
             return;
         }
+        if (channel->unfinishedBytes == 0)
+            channel->unfinishedSince = EpollLoop::instance().now();
+        channel->unfinishedBytes += received;
         channel->session->processInput(buffer.data(), received);
+        // A short frame is complete as soon as it is received, so few links are ever held.
+        if (channel->account != nullptr && !channel->closed && channel->unfinishedBytes > 0)
+            channel->account->hold(
+                    *channel,
+                    {.bytes = channel->unfinishedBytes, .since = channel->unfinishedSince},
+                    EpollLoop::instance().now());
     }
 
     void acceptConnection(int descriptor)
@@ -199,6 +231,13 @@
         channel->session = WebsocketSession::accept(sessionEvents(channel), options.maxFrameBytes);
         waitForSocket(channel);
         channel->session->start();
+        EpollLoop::instance().startOnce(
+                options.handshakeTimeout, [weak = weak_from_this(), id = channel->id] {
+                    const std::shared_ptr<State> state = weak.lock();
+                    const ChannelPointer late = state == nullptr ? nullptr : state->find(id);
+                    if (late != nullptr && !late->open)
+                        state->scheduleClose(late);
+                });
     }
 
     /** Stops using a channel; the loop later removes it and notifies the observer. */
@@ -208,6 +247,7 @@
             return;
         channel->closed = true;
         channel->open = false;
+        channel->release();
         channel->socket.stopWaiting();
         const std::weak_ptr<State> weak = weak_from_this();
         EpollLoop::instance().startOnce(std::chrono::milliseconds(0), [weak, id = channel->id] {
--- a/drivers/websocket/websocket_session.cpp
+++ b/drivers/websocket/websocket_session.cpp
@@ -1,5 +1,7 @@
 #include "drivers/websocket/websocket_session.h"
 
+#include <algorithm>
+
 #include <utility>
 
 #include <websocketpp/client.hpp>
@@ -35,9 +37,45 @@
 // A frame is a few hundred bytes; the library's default of 16 KB per connection would stay unused.
 constexpr std::size_t ReadBufferBytes = 4 * 1024;
 
+/**
+ * Creates messages without room for the length that the peer announces: the library would allocate
+ * it before any byte of the frame has arrived.
+ */
+template <typename Message>
+class LinkMessageManager : public lib::enable_shared_from_this<LinkMessageManager<Message>>
+{
+    static constexpr std::size_t MaxReservedBytes = 64 * 1024;
+
+public:
+    // Names that the library uses.
+    using ptr = lib::shared_ptr<LinkMessageManager>;    // NOLINT
+    using weak_ptr = lib::weak_ptr<LinkMessageManager>; // NOLINT
+    using message_ptr = typename Message::ptr;          // NOLINT
+
+    message_ptr get_message() // NOLINT(readability-identifier-naming)
+    {
+        return lib::make_shared<Message>(this->shared_from_this());
+    }
+
+    // NOLINTNEXTLINE(readability-identifier-naming)
+    message_ptr get_message(websocketpp::frame::opcode::value opcode, std::size_t size)
+    {
+        return lib::make_shared<Message>(this->shared_from_this(), opcode,
+                                         std::min(size, MaxReservedBytes));
+    }
+
+    bool recycle(Message *) { return false; }
+};
+
 template <typename Base>
 struct LinkConfig : Base
 {
+    // NOLINTBEGIN(readability-identifier-naming): names that the library uses.
+    using message_type = websocketpp::message_buffer::message<LinkMessageManager>;
+    using con_msg_manager_type = LinkMessageManager<message_type>;
+    using endpoint_msg_manager_type =
+            websocketpp::message_buffer::alloc::endpoint_msg_manager<con_msg_manager_type>;
+    // NOLINTEND(readability-identifier-naming)
     static const std::size_t connection_read_buffer_size = ReadBufferBytes; // NOLINT
     using permessage_deflate_type = LinkDeflate;
 };
--- a/node/mesh_metrics.cpp
+++ b/node/mesh_metrics.cpp
@@ -48,6 +48,8 @@
     appendMetric("requests_abandoned_total", sources.abandonedRequests);
     appendMetric("requests_run_ahead_total", sources.requestsRunAhead);
     appendMetric("responses_buffered_bytes", sources.bufferedResponseBytes);
+    appendMetric("held_bytes", sources.account.bytes());
+    appendMetric("holders_evicted_total", sources.account.evictions());
     appendMetric("requests_open", sources.openRequests);
     appendMetric("calls_orphaned_total", sources.orphanedCalls);
     appendMetric("crash_suspects", sources.crashSuspects);
--- a/node/mesh_metrics.h
+++ b/node/mesh_metrics.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 
+#include "core/byte_account.h"
 #include "modules/feed/operator_table.h"
 #include "modules/feed/table_follower.h"
 #include "modules/fleet/fleet_network.h"
@@ -30,6 +31,7 @@
     std::size_t openRequests = 0;
     std::uint64_t orphanedCalls = 0;
     std::size_t crashSuspects = 0;
+    const ByteAccount &account;
     /** Calls to the platform's store, by outcome. */
     const std::map<std::string, std::uint64_t> &storeCalls;
 };
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include <glib-unix.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <sys/sysinfo.h>
 
@@ -63,6 +64,9 @@
 constexpr double KeepAliveShare = 0.8;
 // Share of the VM's link for large responses to other nodes. The rest is for all other messages.
 constexpr double LargeResponseShare = 0.92;
+constexpr std::size_t BytesPerMegabyte = 1024UL * 1024UL;
+// A fifth of the files for links; mostly, half of them are for callers.
+constexpr std::uint32_t LinkFileParts = 5;
 constexpr double BytesPerMegabit = 125'000.0;
 
 std::uint64_t currentUnixMilliseconds()
@@ -94,7 +98,12 @@
     struct sysinfo system = {};
     if (sysinfo(&system) != 0 || system.totalram == 0)
         return limit;
-    return std::min(limit, std::size_t(system.totalram) * system.mem_unit / parts);
+    std::size_t memory = std::size_t(system.totalram) * system.mem_unit;
+    // The process may be limited to less than the VM has.
+    rlimit dataLimit = {};
+    if (getrlimit(RLIMIT_DATA, &dataLimit) == 0 && dataLimit.rlim_cur != RLIM_INFINITY)
+        memory = std::min(memory, std::size_t(dataLimit.rlim_cur));
+    return std::min(limit, memory / parts);
 }
 
 /** Returns how many bytes of responses may wait for earlier ones on callers' connections. */
@@ -110,8 +119,30 @@
     return memoryShare(16, HttpServerOptions().maxHeldBodyBytes);
 }
 
+/** Returns how many bytes of unread responses and unfinished frames the node holds. */
+std::size_t maxHeldBytes(const MeshSettings &settings)
+{
+    if (settings.heldMegabytes > 0)
+        return settings.heldMegabytes * BytesPerMegabyte;
+    return memoryShare(4, ByteAccountOptions().limit);
+}
+
+/**
+ * Returns the options of a server for the platform or for this VM's backend server. Its part of the
+ * file descriptors is small, so that such servers leave enough for callers and links.
+ */
+HttpServerOptions localServerOptions(const MeshSettings &settings, std::uint32_t parts,
+                                     const std::shared_ptr<ByteAccount> &account)
+{
+    return HttpServerOptions{.maxConnections = std::clamp(settings.maxFiles / parts, 8U, 128U),
+                             .replacesSilentConnections = true,
+                             .account = account,
+                             .serveClosedCallers = true};
+}
+
 HttpServerOptions callerServerOptions(const MeshSettings &settings, const CallerLimits &limits,
-                                      const Forwarder &forwarder)
+                                      const Forwarder &forwarder,
+                                      const std::shared_ptr<ByteAccount> &account)
 {
     const std::uint32_t maxConnections = std::max(
             64U, settings.maxFiles > ReservedDescriptors ? settings.maxFiles - ReservedDescriptors
@@ -122,6 +153,7 @@
                              .headerTimeout = limits.headerTimeout,
                              .idleTimeout = limits.idleTimeout,
                              .maxConnections = maxConnections,
+                             .account = account,
                              .maxKeepAliveConnections =
                                      static_cast<std::size_t>(maxConnections * KeepAliveShare),
                              .mayRunAhead =
@@ -147,6 +179,7 @@
     BeastHttpClient storeHttp;
     BeastHttpClient backendHttp;
     StoreClient storeClient;
+    std::shared_ptr<ByteAccount> account;
     WebsocketLinkTransport transport;
     FleetNetwork network;
     PoisonRegistry poison;
@@ -243,7 +276,11 @@
               .maxReceivedBytes = memoryShare(8, BeastHttpClientOptions().maxReceivedBytes),
               .maxIdleConnectionsPerServer = 64})
     , storeClient(StoreClientOptions{.server = settings.store}, storeHttp)
-    , transport(LinkTransportOptions{.listen = settings.links})
+    , account(std::make_shared<ByteAccount>(ByteAccountOptions{.limit = maxHeldBytes(settings)}))
+    , transport(LinkTransportOptions{
+              .listen = settings.links,
+              .maxLinks = std::clamp(settings.maxFiles / LinkFileParts, 32U, 1'024U),
+              .account = account})
     , network(FleetNetworkOptions{.self = {.node = settings.node,
                                            .domain = settings.domain,
                                            .linkEndpoint = settings.advertisedLinks,
@@ -274,10 +311,10 @@
                                  .randomSeed = randomSeed},
                 network, timers, table, follower)
     , discovery(NodeDiscoveryOptions{}, storeClient, network, timers)
-    , callerServer(callerServerOptions(settings, CallerLimits(), forwarder))
-    , readinessServer(HttpServerOptions{.serveClosedCallers = true})
-    , controlServer(HttpServerOptions{.serveClosedCallers = true})
-    , metricsServer(HttpServerOptions{.serveClosedCallers = true})
+    , callerServer(callerServerOptions(settings, CallerLimits(), forwarder, account))
+    , readinessServer(localServerOptions(settings, 32, account))
+    , controlServer(localServerOptions(settings, 16, account))
+    , metricsServer(localServerOptions(settings, 32, account))
 {
     network.addObserver(*this);
     table.setListener([this](const KeyedRecord &record) { handleOperatorRecord(record); });
@@ -388,7 +425,7 @@
     hasConfig = true;
     routes = RouteTable(config, randomSeed);
     forwarder.setRoutes(&routes);
-    callerServer.setOptions(callerServerOptions(settings, config.limits, forwarder));
+    callerServer.setOptions(callerServerOptions(settings, config.limits, forwarder, account));
     const auto policy = config.services.find(settings.service);
     if (policy != config.services.end())
         owner.setPolicy(policy->second);
@@ -469,6 +506,7 @@
                             .openRequests = forwarder.openRequests(),
                             .orphanedCalls = callServer.orphanedCalls(),
                             .crashSuspects = poison.size(),
+                            .account = *account,
                             .storeCalls = storeClient.callCounts()});
 }
 
@@ -494,9 +532,11 @@
     settings.grace = newSettings.grace;
     settings.logLevel = newSettings.logLevel;
     settings.maxFiles = newSettings.maxFiles;
+    settings.heldMegabytes = newSettings.heldMegabytes;
+    account->setLimit(maxHeldBytes(settings));
     storeClient.setServer(newSettings.store);
     setLogLevel(newSettings.logLevel);
-    callerServer.setOptions(callerServerOptions(settings, config.limits, forwarder));
+    callerServer.setOptions(callerServerOptions(settings, config.limits, forwarder, account));
     for (const Endpoint &node : newSettings.seeds)
         network.connectEndpoint(node);
     logEvent(Event::SettingsReloaded, {{"why", reason}, {"store", settings.store.text()}});
--- a/node/mesh_settings.cpp
+++ b/node/mesh_settings.cpp
@@ -42,6 +42,7 @@
     settings.retryWindow = limits.seconds("retry_window_seconds", settings.retryWindow);
     settings.canaryShare = limits.nonNegativeNumber("canary_share", settings.canaryShare);
     settings.coldFactor = limits.nonNegativeNumber("cold_factor", settings.coldFactor);
+    settings.heldMegabytes = limits.number("held_megabytes", settings.heldMegabytes);
     settings.maxFiles = limits.number("max_files", settings.maxFiles);
     settings.processorShare = limits.nonNegativeNumber("processor_share", settings.processorShare);
     settings.linkMegabits = limits.nonNegativeNumber("link_megabits", settings.linkMegabits);
--- a/node/mesh_settings.h
+++ b/node/mesh_settings.h
@@ -36,6 +36,8 @@
      * of its service's policy.
      */
     double coldFactor = 1.0;
+    /** What the process may hold for its peers, in MB; 0 for a quarter of the VM's memory. */
+    std::uint32_t heldMegabytes = 0;
     std::uint32_t maxFiles = 1'024; ///< File descriptors that the process may open.
     double processorShare = 1.0;    ///< Processor time that the process may use, in cores.
     double linkMegabits = 1'000.0;  ///< Bandwidth of the VM's network link in Mbit/s.
--- a/servers/http_server.h
+++ b/servers/http_server.h
@@ -8,6 +8,7 @@
 
 #include <absl/status/status.h>
 
+#include "core/byte_account.h"
 #include "core/endpoint.h"
 #include "servers/http_message.h"
 
@@ -38,6 +39,12 @@
     std::chrono::milliseconds headerTimeout{10'000};
     std::chrono::milliseconds idleTimeout{60'000}; ///< Idle connections are closed after this.
     std::size_t maxConnections = 10'000; ///< New connections above this number are closed.
+    /**
+     * At maxConnections, a new connection replaces the oldest one on which nothing was received for
+     * a second. For servers with few connections, whose clients send as soon as they connect.
+     */
+    bool replacesSilentConnections = false;
+    std::shared_ptr<ByteAccount> account; ///< Counts unread responses; null for none.
     /** With this many connections or more, each response closes its connection. */
     std::size_t maxKeepAliveConnections = 8'000;
     /**
--- a/servers/link_transport.h
+++ b/servers/link_transport.h
@@ -1,12 +1,15 @@
 #ifndef SERVERS_LINK_TRANSPORT_H
 #define SERVERS_LINK_TRANSPORT_H
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 
 #include <absl/status/status.h>
 
+#include "core/byte_account.h"
 #include "core/endpoint.h"
 
 namespace jacinthshift {
@@ -35,6 +38,9 @@
     std::size_t maxFrameBytes = 8 * 1024 * 1024;
     std::size_t maxQueuedBytes = 32 * 1024 * 1024; ///< A link with a longer send queue is closed.
     std::size_t maxLinks = 1024; ///< New incoming connections above this number are closed.
+    /** Time limit for the handshake of an incoming connection. */
+    std::chrono::milliseconds handshakeTimeout{10'000};
+    std::shared_ptr<ByteAccount> account; ///< Counts unfinished frames; null for none.
 };
 
 /** Transports frames between nodes over connections, in order on each link. */
--- a/tests/hostile/hostile_case.cpp
+++ b/tests/hostile/hostile_case.cpp
@@ -2,6 +2,9 @@
 
 #include <cstdint>
 
+#include "core/text.h"
+#include "platform/wire_names.h"
+
 namespace jacinthshift {
 
 namespace {
@@ -16,8 +19,8 @@
 
 constexpr const char *ChunkedHead = "POST /book/h HTTP/1.1\r\nHost: hostile.example\r\nRequest-Id: "
                                     "h\r\nDeadline-Ms: 9000\r\nTransfer-Encoding: chunked\r\n\r\n";
-constexpr const char *ControlChunkedHead =
-        "PUT /-/instances/h HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::string ControlRequestLine =
+        joinText("PUT ", wire::InstancesPath, "h HTTP/1.1\r\nHost: h\r\n");
 constexpr const char *LinkHandshake =
         "GET / HTTP/1.1\r\nHost: h\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
         "Sec-WebSocket-Key: dGhlIHNhbXBsZSBub25jZQ==\r\nSec-WebSocket-Version: 13\r\n"
@@ -45,11 +48,12 @@
 void addHttpCases(std::vector<HostileCase> &cases, const std::string &prefix, HostileTarget target)
 {
     const bool callers = target == HostileTarget::Callers;
-    const std::string chunkedHead = callers ? ChunkedHead : ControlChunkedHead;
+    const std::string chunkedHead =
+            callers ? ChunkedHead : ControlRequestLine + "Transfer-Encoding: chunked\r\n\r\n";
     const std::string requestLine =
             callers ? "POST /book/h HTTP/1.1\r\nHost: hostile.example\r\nRequest-Id: "
                       "h\r\nDeadline-Ms: 9000\r\n"
-                    : "PUT /-/instances/h HTTP/1.1\r\nHost: h\r\n";
+                    : ControlRequestLine;
     cases.push_back({.name = prefix + "endless_trailers",
                      .target = target,
                      .clients = FewClients,
