--- a/node/mesh_metrics.h
+++ b/node/mesh_metrics.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 
+#include "core/byte_account.h"
 #include "modules/feed/operator_table.h"
 #include "modules/feed/table_follower.h"
 #include "modules/fleet/fleet_network.h"
@@ -37,6 +38,7 @@
     std::uint64_t orphanedCalls = 0;
     std::size_t crashSuspects = 0;
     bool reportsUsage = false; ///< Whether this node holds the duty of reporting usage.
+    const ByteAccount &account;
     /** Calls to the platform's store, by outcome. */
     const std::map<std::string, std::uint64_t> &storeCalls;
 };
--- a/node/mesh_settings.cpp
+++ b/node/mesh_settings.cpp
@@ -66,6 +66,7 @@
     settings.coldFactor = limits.nonNegativeNumber("cold_factor", settings.coldFactor);
     settings.revokeTime = limits.seconds("revoke_seconds", settings.revokeTime);
     settings.strictRevoke = limits.flag("strict_revoke", settings.strictRevoke);
+    settings.heldMegabytes = limits.number("held_megabytes", settings.heldMegabytes);
     settings.maxFiles = limits.number("max_files", settings.maxFiles);
     settings.processorShare = limits.nonNegativeNumber("processor_share", settings.processorShare);
     settings.linkMegabits = limits.nonNegativeNumber("link_megabits", settings.linkMegabits);
