--- a/core/cbor_reader.cpp
+++ b/core/cbor_reader.cpp
@@ -58,9 +58,9 @@
     static void refuse(void *context) { item(context) = {.kind = Kind::Refused}; }
     static void refuseTag(void *context, std::uint64_t) { refuse(context); }
 
-    static const cbor_callbacks &callbacks()
+    static const cbor_callbacks &all()
     {
-        static const cbor_callbacks Callbacks{.uint8 = takeUnsigned<std::uint8_t>,
+        static const cbor_callbacks callbacks{.uint8 = takeUnsigned<std::uint8_t>,
                                               .uint16 = takeUnsigned<std::uint16_t>,
                                               .uint32 = takeUnsigned<std::uint32_t>,
                                               .uint64 = takeUnsigned<std::uint64_t>,
@@ -84,16 +84,15 @@
                                               .null = takeOther,
                                               .boolean = takeBool,
                                               .indef_break = refuse};
-        return Callbacks;
+        return callbacks;
     }
 };
 
 CborReader::Item CborReader::takeItem()
 {
     Item item;
-    const cbor_decoder_result result =
-            cbor_stream_decode(reinterpret_cast<cbor_data>(m_rest.data()), m_rest.size(),
-                               &Decoder::callbacks(), &item);
+    const cbor_decoder_result result = cbor_stream_decode(
+            reinterpret_cast<cbor_data>(m_rest.data()), m_rest.size(), &Decoder::all(), &item);
     if (result.status != CBOR_DECODER_FINISHED)
         fail("a complete item");
     if (item.kind == Kind::Refused)
--- a/modules/feed/tests/test_table_follower.cpp
+++ b/modules/feed/tests/test_table_follower.cpp
@@ -126,13 +126,13 @@
     fixture.timers.advance(milliseconds(700));
     fixture.log.silent = GENERATE(false, true);
     fixture.log.restoreWithout("t", 1);
-    const int writtenSince = GENERATE(0, 1, 3);
-    for (int i = 0; i < writtenSince; ++i)
+    const std::uint64_t writtenSince = GENERATE(0U, 1U, 3U);
+    for (std::uint64_t i = 0; i < writtenSince; ++i)
         fixture.log.put("t", "config", "r" + std::to_string(3 + i));
     fixture.timers.advance(milliseconds(600));
     fixture.log.silent = false;
     fixture.timers.advance(milliseconds(3'000));
-    const auto end = static_cast<std::uint64_t>(1 + writtenSince);
+    const std::uint64_t end = 1 + writtenSince;
     CHECK(fixture.table.position() == TablePosition{.era = 1, .offset = end});
     fixture.log.put("t", "config", "r9");
     fixture.timers.advance(milliseconds(1'500));
