--- a/tests/hostile/hostile_case.cpp
+++ b/tests/hostile/hostile_case.cpp
@@ -19,7 +19,7 @@
 
 constexpr const char *ChunkedHead = "POST /book/h HTTP/1.1\r\nHost: hostile.example\r\nRequest-Id: "
                                     "h\r\nDeadline-Ms: 9000\r\nTransfer-Encoding: chunked\r\n\r\n";
-const std::string ControlRequestLine =
+const std::string controlRequestLine =
         joinText("PUT ", wire::InstancesPath, "h HTTP/1.1\r\nHost: h\r\n");
 constexpr const char *LinkHandshake =
         "GET / HTTP/1.1\r\nHost: h\r\nUpgrade: websocket\r\nConnection: Upgrade\r\n"
@@ -49,11 +49,11 @@
 {
     const bool callers = target == HostileTarget::Callers;
     const std::string chunkedHead =
-            callers ? ChunkedHead : ControlRequestLine + "Transfer-Encoding: chunked\r\n\r\n";
+            callers ? ChunkedHead : controlRequestLine + "Transfer-Encoding: chunked\r\n\r\n";
     const std::string requestLine =
             callers ? "POST /book/h HTTP/1.1\r\nHost: hostile.example\r\nRequest-Id: "
                       "h\r\nDeadline-Ms: 9000\r\n"
-                    : ControlRequestLine;
+                    : controlRequestLine;
     cases.push_back({.name = prefix + "endless_trailers",
                      .target = target,
                      .clients = FewClients,
--- a/tests/studies/processor_study.cpp
+++ b/tests/studies/processor_study.cpp
@@ -145,7 +145,7 @@
 
 StatusMessage status(std::uint32_t index)
 {
-    return StatusMessage{.tableEnd = 1'234,
+    return StatusMessage{.tableEnd = {.offset = 1'234},
                          .relayCapacity = 10,
                          .backend = {.availability = BackendAvailability::Ready,
                                      .id = joinText("backend-", index),
