Table sync: few fetches of whole tables after a restore

Suspected: a node that may lack records asked a peer for its whole table every 350 ms until an answer came, and large tables take longer than that on small links. Change: at most two such fetches, 3 s apart; a test with slow links. Result: the test passes, with the other tests of the table's distribution.

--- a/modules/feed/table_sync.cpp
+++ b/modules/feed/table_sync.cpp
@@ -56,14 +56,21 @@
     fetchIfBehind();
 }
 
+bool TableSync::wantsCopy() const
+{
+    return m_table.mayLackRecords() && m_copyFetches < m_options.maxCopyFetches
+           && m_timers.now() - m_copyFetchedAt >= m_options.copyFetchInterval;
+}
+
 const FleetPeer *TableSync::chooseFetchSource()
 {
+    const bool copyWanted = wantsCopy();
     std::vector<const FleetPeer *> ownDomain;
     std::vector<const FleetPeer *> otherDomains;
     for (const auto &[node, peer] : m_network.peers()) {
         if (!m_network.isReachable(peer) || !peer.hasStatus)
             continue;
-        const bool mayKnowMore = m_table.mayLackRecords() && peer.status.tableEnd.era > 0;
+        const bool mayKnowMore = copyWanted && peer.status.tableEnd.era > 0;
         if (peer.status.tableEnd > m_table.position() || mayKnowMore)
             (m_network.isInOwnDomain(peer) ? ownDomain : otherDomains).push_back(&peer);
     }
@@ -94,9 +101,13 @@
         return;
     m_fetchPending = true;
     m_fetchedAt = m_timers.now();
-    m_network.send(source->contact.node,
-                   TableFetchMessage{.from = m_table.mayLackRecords() ? TablePosition()
-                                                                      : m_table.position()});
+    TableFetchMessage fetch{.from = m_table.position()};
+    if (wantsCopy()) {
+        fetch.from = TablePosition();
+        ++m_copyFetches;
+        m_copyFetchedAt = m_timers.now();
+    }
+    m_network.send(source->contact.node, fetch);
 }
 
 const std::string &TableSync::packedRecordsFrom(TablePosition from)
--- a/modules/feed/table_sync.h
+++ b/modules/feed/table_sync.h
@@ -29,6 +29,12 @@
     std::chrono::milliseconds otherDomainDelay{150};
     /** Minimum time between fetches: of versions in quick succession only the newest matters. */
     std::chrono::milliseconds minFetchInterval{350};
+    /**
+     * After a restore of the log, a peer's whole table is fetched at most this often. It is large,
+     * and when all nodes have restarted, repeated fetches would fill the links of small VMs.
+     */
+    std::uint32_t maxCopyFetches = 2;
+    std::chrono::milliseconds copyFetchInterval{3'000};
     std::uint32_t relayCapacity = 0; ///< Of this VM, see StatusMessage::relayCapacity.
     std::uint64_t randomSeed = 0;    ///< Seeds the random choice of the peer to fetch from.
     /**
@@ -58,6 +64,8 @@
     TablePosition m_packedEnd;  ///< Table end when m_packed was packed.
     std::string m_packed;       ///< Last packed page, reused for fetches from the same offset.
     bool m_fetchPending = false;
+    std::uint32_t m_copyFetches = 0; ///< Fetches of a whole table since the log was restored.
+    SteadyTime m_copyFetchedAt;
     Timer m_checkTimer;
 
     void check();
@@ -66,6 +74,9 @@
      * Returns whether this node must read the log: it starts, or too few readers rank before it.
      */
     bool shouldRead() const;
+    /** Returns whether a peer's whole table is to be fetched, see OperatorTable::mayLackRecords().
+     */
+    bool wantsCopy() const;
     /** Returns a random peer to fetch from, or nullptr if none is ahead or allowed yet. */
     const FleetPeer *chooseFetchSource();
     /** Returns whether a node of the own failure domain reads the log and was heard of lately. */
--- a/modules/feed/tests/test_table_sync.cpp
+++ b/modules/feed/tests/test_table_sync.cpp
@@ -171,4 +171,25 @@
         CHECK(node->table.position() == end);
 }
 
+// Guards against links that are filled with whole tables when all nodes return after a restore and
+// answers take longer than the time after which a fetch is repeated.
+TEST_CASE("after a restore a node fetches few whole tables however late the answers are")
+{
+    TableMesh mesh;
+    mesh.log.restoreWithout("t", 0);
+    mesh.log.put("t", "config", std::string(100'000, 'x'));
+    for (int i = 0; i < 6; ++i) {
+        mesh.addNode();
+        // A whole table takes a second.
+        mesh.hub.bandwidth[Endpoint{"127.0.0.1", static_cast<std::uint16_t>(i + 1)}] = 500.0;
+    }
+    mesh.advance(milliseconds(12'000));
+    std::size_t fetches = 0;
+    for (const std::unique_ptr<TableNode> &node : mesh.nodes) {
+        const std::size_t type = FleetMessage(TableFetchMessage()).index();
+        fetches += node->network.sentFrames(type, false).frames;
+    }
+    CHECK(fetches <= 2 * mesh.nodes.size());
+}
+
 } // namespace jacinthshift
