Admission: refuse what cannot end in time, keep urgency, wait for first answers

In surges, requests waited most of their time and were aborted at the deadline by the backend server: the queue started runs with 0.6 of a mean that decays. A request that was late was put behind less urgent ones, and dropped for them. After a start, requests beyond 2 running and 8 waiting were refused although the backend server had free slots. Refused callers came back together.

With known costs, the queue uses the usual time of a run at the current pace, starts nothing that has less than 0.9 of it left, and estimates waits by the usual mean. Priority now comes before lateness, and after ten starts of more urgent requests one of a less urgent class starts. Until the first answer, the queue and its estimate use all slots. Event E5030 and jacinthshift_entry_refused_total tell.

Priority order, the share and the start are not limited to known costs.

--- a/core/event.cpp
+++ b/core/event.cpp
@@ -77,6 +77,7 @@
             {Event::CallOrphaned, "CallOrphaned", EventLevel::Warning, true},
             {Event::CrashSuspected, "CrashSuspected", EventLevel::Warning, false},
             {Event::PoisonRefused, "PoisonRefused", EventLevel::Warning, false},
+            {Event::EntryRefused, "EntryRefused", EventLevel::Info, true},
     };
     return catalogue;
 }
--- a/core/event.h
+++ b/core/event.h
@@ -88,6 +88,7 @@
     CallOrphaned = 5013,
     CrashSuspected = 5020,
     PoisonRefused = 5021,
+    EntryRefused = 5030,
 };
 
 /** The catalogue entry of an event. */
--- a/modules/forwarding/forwarder.cpp
+++ b/modules/forwarding/forwarder.cpp
@@ -44,6 +44,7 @@
     , m_metrics(metrics)
     , m_owners(network, remote, local, timers)
     , m_selector(options.selector, options.randomSeed)
+    , m_entry(options.entry, options.randomSeed + 1)
     , m_budgets(options.retries)
 {
 }
@@ -156,6 +157,28 @@
 std::optional<OwnerCandidate> Forwarder::chooseOwner(Request &request)
 {
     const std::vector<OwnerCandidate> candidates = m_owners.candidates(ownerQuery(request));
+    request.ownersReportCosts = request.ownersReportCosts
+                                || std::any_of(candidates.begin(), candidates.end(),
+                                               [](const OwnerCandidate &candidate) {
+                                                   return hasCosts(candidate.backend);
+                                               });
+    const std::chrono::milliseconds timeLeft = remainingTime(m_timers.now(), request.deadline);
+    const std::optional<std::chrono::milliseconds> untilRoom =
+            m_entry.refusal(candidates, EntryRequest{.timeLeft = timeLeft,
+                                                     .routeFactor = routeFactor(request),
+                                                     .overtakesOthers = request.priority == 0});
+    if (untilRoom) {
+        request.noOwnerInTime = true;
+        request.retryHint = std::max(request.retryHint, *untilRoom);
+        m_metrics.entryRefused();
+        logEvent(Event::EntryRefused, {{"request", request.requestId},
+                                       {"route", request.route},
+                                       {"owners", candidates.size()},
+                                       {"tries", request.ownerAttempts},
+                                       {"left_ms", timeLeft.count()},
+                                       {"room_ms", untilRoom->count()}});
+        return std::nullopt;
+    }
     const std::optional<std::size_t> best = m_selector.choose(
             candidates,
             SelectionContext{.targetTimeLeft = remainingTime(m_timers.now(), request.targetAt),
@@ -356,9 +379,14 @@
     if (request->ownerAttempts < m_options.maxOwnerAttempts)
         request->excludedOwners = m_owners.describeExcludedOwners(ownerQuery(*request));
     const bool hasReason = anyOwnerAsked || request->lastRefusal != WorkRefusal::None;
-    const std::string_view reason = hasReason ? refusalName(request->lastRefusal) : "no-owner";
-    const std::chrono::milliseconds retryAfter =
+    const std::string_view ownReason =
+            request->noOwnerInTime ? std::string_view("no-owner-in-time") : "no-owner";
+    const std::string_view reason = hasReason ? refusalName(request->lastRefusal) : ownReason;
+    std::chrono::milliseconds retryAfter =
             request->retryHint.count() > 0 ? request->retryHint : m_options.retryAfterWithoutOwner;
+    if (request->ownersReportCosts)
+        retryAfter =
+                m_entry.retryAfter(retryAfter, remainingTime(m_timers.now(), request->deadline));
     answer(request, refusal(StatusUnavailable, request->requestId, retryAfter, reason), reason);
 }
 
--- a/modules/forwarding/forwarder.h
+++ b/modules/forwarding/forwarder.h
@@ -10,6 +10,7 @@
 
 #include "modules/fleet/call_server.h"
 #include "modules/fleet/remote_call_client.h"
+#include "modules/forwarding/entry_admission.h"
 #include "modules/forwarding/owner_directory.h"
 #include "modules/forwarding/owner_selector.h"
 #include "modules/forwarding/service_retry_budgets.h"
@@ -27,6 +28,7 @@
     std::string callerService; ///< Service on this VM, to which the callers on it belong.
     HeaderNames headers;
     OwnerSelectorOptions selector;
+    EntryAdmissionOptions entry;
     RetryLimits retries; ///< Limits for all nodes together.
     std::uint64_t randomSeed = 0;
     /** Mean size from which the responses of a route wait for others on the owner's link. */
@@ -101,6 +103,8 @@
         std::uint64_t callId = 0; ///< Id of the current attempt at the local or remote owner.
         std::chrono::milliseconds retryHint{0}; ///< Shortest Retry-After of the owners asked.
         WorkRefusal lastRefusal = WorkRefusal::None;
+        bool noOwnerInTime = false; ///< It was refused here; see EntryAdmission.
+        bool ownersReportCosts = false;
         std::unique_ptr<HttpResponse> errorResponse; ///< A backend server's last error response.
         Timer timeout;
     };
@@ -114,6 +118,7 @@
     TrafficMetrics &m_metrics;
     OwnerDirectory m_owners;
     OwnerSelector m_selector;
+    EntryAdmission m_entry;
     ServiceRetryBudgets m_budgets;
     RouteTable *m_routes = nullptr;
     /** Longest deadline that callers have sent, by route. */
--- a/modules/forwarding/traffic_metrics.cpp
+++ b/modules/forwarding/traffic_metrics.cpp
@@ -39,7 +39,8 @@
     }
     text += joinText("jacinthshift_retries_total ", m_retries,
                      "\njacinthshift_retries_denied_total ", m_retriesDenied,
-                     "\njacinthshift_callers_gone_total ", m_callersGone, "\n");
+                     "\njacinthshift_callers_gone_total ", m_callersGone,
+                     "\njacinthshift_entry_refused_total ", m_entryRefused, "\n");
     return text;
 }
 
--- a/modules/forwarding/traffic_metrics.h
+++ b/modules/forwarding/traffic_metrics.h
@@ -33,6 +33,7 @@
     std::uint64_t m_retries = 0;
     std::uint64_t m_retriesDenied = 0;
     std::uint64_t m_callersGone = 0;
+    std::uint64_t m_entryRefused = 0;
 
 public:
     /** Counts an answered request. The route is empty if the request was refused before routing. */
@@ -41,6 +42,8 @@
     void requestRetried() { ++m_retries; }
     void retryDenied() { ++m_retriesDenied; }
     void callerGone() { ++m_callersGone; }
+    /** Counts a request that no owner could end in time. */
+    void entryRefused() { ++m_entryRefused; }
     /** Returns the metrics in the Prometheus text format, with latencies in seconds. */
     std::string prometheusText() const;
 };
--- a/modules/owner/admission_queue.cpp
+++ b/modules/owner/admission_queue.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace jacinthshift {
 
@@ -26,6 +27,8 @@
 
 double AdmissionQueue::meanServiceTimeOrDefault() const
 {
+    if (m_meanRunTime > 0.0)
+        return m_meanRunTime;
     return m_meanServiceTime > 0.0 ? m_meanServiceTime : DefaultServiceTimeMs;
 }
 
@@ -36,6 +39,8 @@
 
 double AdmissionQueue::serviceTime(const AdmissionTicket &ticket, SteadyTime now) const
 {
+    if (ticket.expectedTime.count() > 0)
+        return static_cast<double>(ticket.expectedTime.count());
     const auto known = m_serviceTimes.find(ticket.route);
     if (known == m_serviceTimes.end()) {
         return std::max(1.0, millisecondsBetween(now, ticket.targetAt))
@@ -52,19 +57,20 @@
 
 bool AdmissionQueue::willMissDeadline(const AdmissionTicket &ticket, SteadyTime now) const
 {
-    return millisecondsBetween(now, ticket.deadline)
-           < serviceTime(ticket, now) * m_options.minServiceTimeFraction;
+    const double fraction = ticket.expectedTime.count() > 0 ? m_options.minExpectedTimeFraction
+                                                            : m_options.minServiceTimeFraction;
+    return millisecondsBetween(now, ticket.deadline) < serviceTime(ticket, now) * fraction;
 }
 
 bool AdmissionQueue::precedes(const AdmissionTicket &a, const AdmissionTicket &b,
                               SteadyTime now) const
 {
+    if (a.priority != b.priority)
+        return a.priority < b.priority;
     const bool aLate = isLate(a, now);
     const bool bLate = isLate(b, now);
     if (aLate != bLate)
         return bLate;
-    if (a.priority != b.priority)
-        return a.priority < b.priority;
     if (a.isCallerRetry != b.isCallerRetry)
         return a.isCallerRetry;
     return a.targetAt < b.targetAt;
@@ -78,10 +84,13 @@
             }));
 }
 
-double AdmissionQueue::expectedWait(std::uint32_t ahead) const
+double AdmissionQueue::expectedWait(std::uint32_t ahead, double service) const
 {
     double wait = 0.0;
-    if (m_running >= m_limit)
+    // The first answer makes all slots available; until then, those ahead do not block them.
+    if (m_limit < m_slots && m_running >= m_limit)
+        wait = service * (1.0 + static_cast<double>(ahead / m_slots));
+    else if (m_running >= m_limit)
         wait = (ahead + 1) * meanServiceTimeOrDefault() / std::max(1U, m_limit);
     if (m_startsPerSecond > 0.0) {
         const double charged = std::max(0.0, -m_startTokens);
@@ -90,6 +99,27 @@
     return wait;
 }
 
+std::uint32_t AdmissionQueue::countSharedAhead(const AdmissionTicket &ticket, SteadyTime now) const
+{
+    const auto mostUrgent =
+            std::min_element(m_waiting.begin(), m_waiting.end(),
+                             [](const AdmissionTicket &a, const AdmissionTicket &b) {
+                                 return a.priority < b.priority;
+                             });
+    return static_cast<std::uint32_t>(
+            std::count_if(m_waiting.begin(), m_waiting.end(), [&](const AdmissionTicket &other) {
+                return !precedes(ticket, other, now)
+                       && (other.priority > mostUrgent->priority
+                           || ticket.priority <= mostUrgent->priority);
+            }));
+}
+
+double AdmissionQueue::shareWait(std::uint32_t sharedAhead) const
+{
+    const double startsNeeded = (sharedAhead + 1.0) * (m_options.startsBeforeLessUrgent + 1.0);
+    return startsNeeded * meanServiceTimeOrDefault() / std::max(1U, m_limit);
+}
+
 void AdmissionQueue::setStartRate(double perSecond, WorkRefusal reason, SteadyTime now)
 {
     if (perSecond > 0.0 && m_startsPerSecond <= 0.0) {
@@ -159,7 +189,9 @@
             m_startsPerSecond > 0.0 ? m_startRateReason : WorkRefusal::Overloaded;
     const double service = serviceTime(ticket, now);
     if (willMissDeadline(ticket, now) && m_running >= std::min(m_options.maxProbes, m_limit))
-        return refuse(refusalReason, service);
+        return refuse(refusalReason, ticket.expectedTime.count() > 0
+                                             ? expectedWait(countAhead(ticket, now), service)
+                                             : service);
     recordDemand(ticket.priority, service, now);
     const std::uint32_t ahead = countAhead(ticket, now);
     if (ahead == 0 && mayStart(now)) {
@@ -167,9 +199,13 @@
         return AdmissionDecision{.kind = AdmissionDecision::Kind::Start};
     }
     // More urgent requests that arrive while it waits will overtake it.
-    const double wait =
-            expectedWait(ahead)
+    double wait =
+            expectedWait(ahead, service)
             / std::max(MinFreeSlotFraction, 1.0 - moreUrgentUtilisation(ticket.priority, now));
+    const std::uint32_t sharedAhead = countSharedAhead(ticket, now);
+    const bool hasShare = sharedAhead < ahead && m_startsPerSecond <= 0.0;
+    if (hasShare)
+        wait = std::min(wait, shareWait(sharedAhead));
     const double untilTarget = millisecondsBetween(now, ticket.targetAt) - service;
     const double untilDeadline = millisecondsBetween(now, ticket.deadline) - service;
     // A request that becomes late while it waits is overtaken by all that can still be answered in
@@ -180,7 +216,10 @@
         return refuse(refusalReason, wait);
     AdmissionDecision decision{.kind = AdmissionDecision::Kind::Wait,
                                .expectedWait = std::chrono::milliseconds(std::llround(wait))};
-    if (m_waiting.size() >= std::size_t(m_limit) * m_options.queuePerSlot) {
+    // A class that waits for its small share needs places in the queue, for about as many slots.
+    const std::size_t capacity = std::size_t(std::max(m_limit, m_slots)) * m_options.queuePerSlot;
+    const bool usesShare = hasShare && sharedAhead <= m_limit / m_options.startsBeforeLessUrgent;
+    if (m_waiting.size() >= capacity && !usesShare) {
         const auto last = std::max_element(m_waiting.begin(), m_waiting.end(),
                                            [&](const AdmissionTicket &a, const AdmissionTicket &b) {
                                                return precedes(a, b, now);
@@ -218,27 +257,45 @@
            > 0;
 }
 
+std::vector<AdmissionTicket>::iterator AdmissionQueue::nextToStart(SteadyTime now)
+{
+    const auto before = [&](const AdmissionTicket &a, const AdmissionTicket &b) {
+        return precedes(a, b, now);
+    };
+    const auto first = std::min_element(m_waiting.begin(), m_waiting.end(), before);
+    auto lessUrgent = m_waiting.end();
+    for (auto ticket = m_waiting.begin(); ticket != m_waiting.end(); ++ticket) {
+        if (ticket->priority > first->priority
+            && (lessUrgent == m_waiting.end() || precedes(*ticket, *lessUrgent, now)))
+            lessUrgent = ticket;
+    }
+    if (lessUrgent == m_waiting.end())
+        return first;
+    if (++m_startsOverLessUrgent <= m_options.startsBeforeLessUrgent)
+        return first;
+    m_startsOverLessUrgent = 0;
+    return lessUrgent;
+}
+
 DequeuedTickets AdmissionQueue::dequeue(SteadyTime now)
 {
     DequeuedTickets due;
-    // A request that has become late is overtaken by all that are not. It is dropped at once, so
-    // that its caller can try another backend server.
-    const bool othersInTime =
-            std::any_of(m_waiting.begin(), m_waiting.end(),
-                        [&](const AdmissionTicket &ticket) { return !isLate(ticket, now); });
+    // A request that has become late is overtaken by those that are not, unless they are less
+    // urgent. It is dropped at once, so that its caller can try another backend server.
+    std::uint32_t mostUrgentInTime = std::numeric_limits<std::uint32_t>::max();
+    for (const AdmissionTicket &ticket : m_waiting) {
+        if (ticket.priority < mostUrgentInTime && !isLate(ticket, now))
+            mostUrgentInTime = ticket.priority;
+    }
     std::erase_if(m_waiting, [&](const AdmissionTicket &ticket) {
-        const bool overtaken = othersInTime && isLate(ticket, now);
+        const bool overtaken = mostUrgentInTime <= ticket.priority && isLate(ticket, now);
         const bool drop = overtaken || willMissDeadline(ticket, now);
         if (drop)
             due.dropped.push_back(ticket.id);
         return drop;
     });
     while (!m_waiting.empty() && mayStart(now)) {
-        const auto first =
-                std::min_element(m_waiting.begin(), m_waiting.end(),
-                                 [&](const AdmissionTicket &a, const AdmissionTicket &b) {
-                                     return precedes(a, b, now);
-                                 });
+        const auto first = nextToStart(now);
         due.start.push_back(first->id);
         m_waiting.erase(first);
         recordStart();
--- a/modules/owner/admission_queue.h
+++ b/modules/owner/admission_queue.h
@@ -32,6 +32,11 @@
      * left.
      */
     double minServiceTimeFraction = 0.6;
+    /**
+     * The same for tickets with a known expectedTime. That is the time of usual runs, so with much
+     * less left, the run would be aborted at its deadline.
+     */
+    double minExpectedTimeFraction = 0.9;
     /**
      * A request that is expected to miss its deadline is admitted only while fewer requests than
      * this are running. If none were admitted, an estimate of the service time that is too high
@@ -39,6 +44,11 @@
      */
     std::uint32_t maxProbes = 2;
     std::uint32_t queuePerSlot = 4; ///< Queue capacity, as a multiple of the limit.
+    /**
+     * After this many starts of more urgent tickets, one that is less urgent starts, so that no
+     * class starves.
+     */
+    std::uint32_t startsBeforeLessUrgent = 10;
     /** Capacity of the token bucket that limits the starts per second. */
     double startBurst = 1.5;
     /** Bounds of the expected wait that is returned with a refusal. */
@@ -55,6 +65,7 @@
     bool isCallerRetry = false; ///< A retry after an earlier refusal.
     SteadyTime targetAt;        ///< An answer after this time is of little use to the caller.
     SteadyTime deadline;
+    std::chrono::milliseconds expectedTime{0}; ///< Of its run; zero if not known.
 };
 
 /** The decision on an offered ticket. */
@@ -98,6 +109,7 @@
 
     AdmissionQueueOptions m_options;
     std::uint32_t m_limit = 0;
+    std::uint32_t m_slots = 0; ///< The limit from the first answer on.
     std::uint32_t m_running = 0;
     std::vector<AdmissionTicket> m_waiting;
     std::unordered_map<std::string, ServiceTime> m_serviceTimes;
@@ -109,6 +121,9 @@
     /** Why requests are refused while the start rate is limited. */
     WorkRefusal m_startRateReason = WorkRefusal::Cold;
     SteadyTime m_lastSampleAt;
+    double m_meanRunTime = 0.0; ///< Set by setMeanRunTime(); 0 if not known.
+    /** Starts of tickets while less urgent ones waited, since the last start of one of those. */
+    std::uint32_t m_startsOverLessUrgent = 0;
 
     // Times of type double are in milliseconds.
     double serviceTime(const AdmissionTicket &ticket, SteadyTime now) const;
@@ -118,7 +133,17 @@
     bool isLate(const AdmissionTicket &ticket, SteadyTime now) const;
     bool willMissDeadline(const AdmissionTicket &ticket, SteadyTime now) const;
     std::uint32_t countAhead(const AdmissionTicket &ticket, SteadyTime now) const;
-    double expectedWait(std::uint32_t ahead) const;
+    /** Returns the expected wait of a ticket with a service time behind others. */
+    double expectedWait(std::uint32_t ahead, double service) const;
+    /**
+     * Returns how many waiting tickets are served before one by the share of less urgent classes;
+     * for one of the most urgent class, all those ahead.
+     */
+    std::uint32_t countSharedAhead(const AdmissionTicket &ticket, SteadyTime now) const;
+    /** Returns the longest wait of a ticket that is served by the share of less urgent classes. */
+    double shareWait(std::uint32_t sharedAhead) const;
+    /** Returns the waiting ticket that starts next; there must be one. */
+    std::vector<AdmissionTicket>::iterator nextToStart(SteadyTime now);
     void recordDemand(std::uint32_t priority, double service, SteadyTime now);
     double decayedWork(const Demand &demand, SteadyTime now) const;
     /** Returns the recent demand of more urgent requests, as a fraction of all slots. */
@@ -130,8 +155,21 @@
 public:
     explicit AdmissionQueue(const AdmissionQueueOptions &options) : m_options(options) {}
 
-    /** Sets how many requests may run at once. */
-    void setLimit(std::uint32_t limit) { m_limit = limit; }
+    /**
+     * Sets how many requests may run at once. Before the first answer, that are fewer than the
+     * backend server has slots.
+     */
+    void setLimit(std::uint32_t limit, std::uint32_t slots)
+    {
+        m_limit = limit;
+        m_slots = slots;
+    }
+    void setLimit(std::uint32_t limit) { setLimit(limit, limit); }
+    /** Sets the mean time of runs of all routes; zero to use the mean of the recorded ones. */
+    void setMeanRunTime(std::chrono::milliseconds time)
+    {
+        m_meanRunTime = static_cast<double>(time.count());
+    }
     /** Limits how many requests may start per second, for a reason; 0 for no limit. */
     void setStartRate(double perSecond, WorkRefusal reason, SteadyTime now);
 
--- a/modules/owner/backend_owner.cpp
+++ b/modules/owner/backend_owner.cpp
@@ -235,7 +235,8 @@
 void BackendOwner::updateConcurrencyLimit()
 {
     const std::uint32_t slots = m_registration.current()->slots;
-    m_admission.setLimit(m_hasAnswer ? slots : std::min(slots, m_options.maxRunningBeforeAnswer));
+    m_admission.setLimit(m_hasAnswer ? slots : std::min(slots, m_options.maxRunningBeforeAnswer),
+                         slots);
 }
 
 void BackendOwner::recordAnswerHeaders(const Work &work, const std::vector<HttpHeader> &headers)
@@ -373,16 +374,20 @@
         return 0;
     }
     updateStartRate();
+    m_admission.setMeanRunTime(m_costs.meanTime(now));
     const std::uint64_t id = ++m_lastWorkId;
     const SteadyTime deadline = now + std::max(workRequest.timeLeft - AnswerMargin, AnswerMargin);
-    const AdmissionDecision decision =
-            m_admission.offer(AdmissionTicket{.id = id,
-                                              .route = workRequest.route,
-                                              .priority = workRequest.priority,
-                                              .isCallerRetry = workRequest.isCallerRetry,
-                                              .targetAt = now + workRequest.targetTimeLeft,
-                                              .deadline = deadline},
-                              now);
+    const AdmissionDecision decision = m_admission.offer(
+            AdmissionTicket{.id = id,
+                            .route = workRequest.route,
+                            .priority = workRequest.priority,
+                            .isCallerRetry = workRequest.isCallerRetry,
+                            .targetAt = now + workRequest.targetTimeLeft,
+                            .deadline = deadline,
+                            .expectedTime = m_costs.expectedTime(workRequest.route,
+                                                                 workRequest.workspace, now)
+                                                    .value_or(std::chrono::milliseconds(0))},
+            now);
     if (decision.kind == AdmissionDecision::Kind::Refuse) {
         refuseNow(callback, workRequest, decision.reason, decision.expectedWait);
         return 0;
--- a/modules/owner/tests/test_admission_queue.cpp
+++ b/modules/owner/tests/test_admission_queue.cpp
@@ -257,4 +257,97 @@
     CHECK(backend.queue.waiting() == 0);
 }
 
+// Load pattern: in a surge, requests wait until too little time is left and are then aborted at
+// their deadline by the backend server.
+TEST_CASE("surge: a request whose usual run no longer fits into its time is not started")
+{
+    AdmissionQueue queue{AdmissionQueueOptions{}};
+    queue.setLimit(4);
+    for (std::uint64_t id = 1; id <= 4; ++id) {
+        AdmissionTicket running = ticket(id, 0, 800, 2'000);
+        running.expectedTime = milliseconds(500);
+        REQUIRE(queue.offer(running, at(0)).kind == AdmissionDecision::Kind::Start);
+    }
+    AdmissionTicket waiting = ticket(5, 0, 800, 2'000);
+    waiting.expectedTime = milliseconds(500);
+    REQUIRE(queue.offer(waiting, at(0)).kind == AdmissionDecision::Kind::Wait);
+    queue.finished("r", milliseconds(1'600), at(1'600));
+    const DequeuedTickets due = queue.dequeue(at(1'600));
+    CHECK(due.start.empty());
+    CHECK(due.dropped == std::vector<std::uint64_t>{5});
+}
+
+// Load pattern: all processes start again under full load; each backend server has 18 free slots.
+TEST_CASE("start under load: requests that the slots can run in time wait for the first answer")
+{
+    AdmissionQueue queue{AdmissionQueueOptions{}};
+    queue.setLimit(2, 18);
+    for (std::uint64_t id = 1; id <= 18; ++id) {
+        INFO(id);
+        CHECK(queue.offer(ticket(id, 0, 800, 2'000), at(0)).kind
+              != AdmissionDecision::Kind::Refuse);
+    }
+    queue.finished("r", milliseconds(250), at(250));
+    queue.setLimit(18, 18);
+    CHECK(queue.dequeue(at(250)).start.size() == 16);
+}
+
+// Load pattern: urgent requests are late because of a surge of less urgent ones that are not.
+TEST_CASE("surge: an urgent request that is late does not wait behind less urgent ones")
+{
+    SimulatedBackend backend(1, 100);
+    backend.offer(ticket(1, 0, 1'000, 5'000));
+    REQUIRE(backend.offer(ticket(2, 0, 2'000, 5'000, 2)) == AdmissionDecision::Kind::Wait);
+    // Its caller comes back after a refusal, with its target latency spent.
+    REQUIRE(backend.offer(ticket(3, 0, 50, 5'000, 1)) == AdmissionDecision::Kind::Wait);
+    for (int i = 0; i < 400; ++i)
+        backend.step();
+    REQUIRE(backend.finishedAt.contains(3));
+    REQUIRE(backend.finishedAt.contains(2));
+    CHECK(backend.finishedAt[3] < backend.finishedAt[2]);
+}
+
+// Load pattern: urgent requests alone exceed the capacity for five seconds.
+TEST_CASE("surge: a less urgent class gets a small part of the starts and does not starve")
+{
+    SimulatedBackend backend(10, 100);
+    std::uint64_t id = 1;
+    std::map<std::uint64_t, std::uint32_t> priorities;
+    while (backend.now < 5'000) {
+        const std::uint32_t priority = id % 4 == 0 ? 2 : 1;
+        priorities[id] = priority;
+        backend.offer(ticket(id, backend.now, 1'000, 5'000, priority));
+        ++id;
+        for (int i = 0; i < 5; ++i)
+            backend.step();
+    }
+    std::map<std::uint32_t, int> served;
+    for (const auto &[finished, when] : backend.finishedAt)
+        ++served[priorities[finished]];
+    CHECK(served[2] >= 15);
+    CHECK(served[1] >= 8 * served[2]);
+}
+
+// Guards against refusals by a mean that single long runs distort.
+TEST_CASE("long runs: the wait is estimated by the usual time of runs where that is known")
+{
+    AdmissionQueue queue{AdmissionQueueOptions{}};
+    queue.setLimit(2);
+    for (const int sample : {250, 1'750, 1'750}) {
+        queue.offer(ticket(1, 0, 800, 2'000), at(0));
+        queue.finished("r", milliseconds(sample), at(0));
+    }
+    queue.setMeanRunTime(milliseconds(250));
+    const auto offer = [&](std::uint64_t id) {
+        AdmissionTicket offered = ticket(id, 0, 800, 2'000);
+        offered.expectedTime = milliseconds(250);
+        return queue.offer(offered, at(0));
+    };
+    offer(2);
+    offer(3);
+    const AdmissionDecision waiting = offer(4);
+    CHECK(waiting.kind == AdmissionDecision::Kind::Wait);
+    CHECK(waiting.expectedWait <= milliseconds(250));
+}
+
 } // namespace jacinthshift
