Admission: refuse runs whose calls are refused, put calls before new work

Runs were begun whose calls to another service were all refused, and answered 500. The calls arrive at the node like callers' requests, which it cannot tell apart by address.

CalledRoutes learns which routes are requested only while the VM's own backend server runs a certain other route: at least 100 requests, none at another time, and a chance of at most 1e-9. In doubt, they are callers' requests. Learned calls get the most urgent priority. While at least half of a route's recent calls were refused, its runs are refused unsent with the calls' Retry-After; every eighth is sent as a probe.

Metric: jacinthshift_runs_refused_for_calls_total.

--- a/modules/forwarding/forwarder.cpp
+++ b/modules/forwarding/forwarder.cpp
@@ -110,6 +110,12 @@
     request->priority = settings.priority;
     request->idempotent = settings.idempotent;
     request->maxAttempts = std::max(1U, settings.maxAttempts);
+    if (m_calledRoutes != nullptr) {
+        m_calledRoutes->requestArrived(request->route, m_timers.now());
+        // The run that makes the call has begun, so the call precedes new work.
+        if (m_calledRoutes->isCalled(request->route))
+            request->priority = 0;
+    }
     setDeadlines(*request, settings);
     return true;
 }
@@ -485,6 +491,11 @@
     request->timeout.stop();
     m_requests.erase(request->id);
     m_metrics.requestAnswered(request->route, response.status, reason, latency);
+    if (m_calledRoutes != nullptr) {
+        const bool refused = response.status == StatusUnavailable
+                             && request->errorResponse == nullptr && !request->mayHaveRun;
+        m_calledRoutes->requestEnded(request->route, refused, request->retryHint, m_timers.now());
+    }
     if (response.status >= FirstServerError)
         logFailure(*request, response.status, reason, latency);
     else
--- a/modules/forwarding/forwarder.h
+++ b/modules/forwarding/forwarder.h
@@ -8,6 +8,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "modules/cost/called_routes.h"
 #include "modules/fleet/call_server.h"
 #include "modules/fleet/remote_call_client.h"
 #include "modules/forwarding/entry_admission.h"
@@ -121,6 +122,7 @@
     EntryAdmission m_entry;
     ServiceRetryBudgets m_budgets;
     RouteTable *m_routes = nullptr;
+    CalledRoutes *m_calledRoutes = nullptr;
     /** Longest deadline that callers have sent, by route. */
     std::unordered_map<std::string, std::chrono::milliseconds> m_longestDeadline;
     /** Mean response times in milliseconds. */
@@ -174,6 +176,9 @@
 
     /** Sets the route table, which is not owned. Without one, every request is refused. */
     void setRoutes(RouteTable *routes) { m_routes = routes; }
+    /** Sets where requests are observed as possible calls of this VM's backend server; not owned.
+     */
+    void setCalledRoutes(CalledRoutes *calledRoutes) { m_calledRoutes = calledRoutes; }
     /** Sets the number of nodes that share the operator's retry limits. */
     void setNodeCount(std::size_t nodeCount) { m_budgets.setNodeCount(nodeCount); }
     /** Forwards one request and answers it through the responder. */
--- a/modules/owner/backend_owner.cpp
+++ b/modules/owner/backend_owner.cpp
@@ -374,6 +374,13 @@
         return 0;
     }
     updateStartRate();
+    const std::optional<std::chrono::milliseconds> untilCalls =
+            m_calledRoutes == nullptr ? std::nullopt
+                                      : m_calledRoutes->refusal(workRequest.route, now);
+    if (untilCalls) {
+        refuseNow(callback, workRequest, WorkRefusal::Overloaded, *untilCalls);
+        return 0;
+    }
     m_admission.setMeanRunTime(m_costs.meanTime(now));
     const std::uint64_t id = ++m_lastWorkId;
     const SteadyTime deadline = now + std::max(workRequest.timeLeft - AnswerMargin, AnswerMargin);
@@ -467,6 +474,8 @@
     m_recentStarts.record(now);
     work.startedAt = now;
     m_costs.started(id, now);
+    if (m_calledRoutes != nullptr)
+        m_calledRoutes->runStarted(work.request.route, now);
     work.backend = backend.id;
     work.lifetime = m_lifetime;
     const std::chrono::milliseconds timeLeft =
@@ -686,6 +695,8 @@
     Work taken = std::move(work->second);
     m_heldBodyBytes -= taken.request.request.body.size();
     m_costs.ended(work->first);
+    if (m_calledRoutes != nullptr && taken.startedAt != SteadyTime())
+        m_calledRoutes->runEnded(taken.request.route, m_timers.now());
     m_work.erase(work);
     return taken;
 }
--- a/modules/owner/backend_owner.h
+++ b/modules/owner/backend_owner.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "modules/admission/poison_registry.h"
+#include "modules/cost/called_routes.h"
 #include "modules/fleet/call_server.h"
 #include "modules/owner/admission_queue.h"
 #include "modules/owner/backend_probe.h"
@@ -128,6 +129,7 @@
     BackendRegistration m_registration;
     AdmissionQueue m_admission;
     RequestRateLimit m_rateLimit;
+    CalledRoutes *m_calledRoutes = nullptr;
     RunCosts m_costs; ///< Of the current backend server.
     ServicePolicy m_policy;
     std::unordered_map<std::uint64_t, Work> m_work;
@@ -205,6 +207,8 @@
      */
     void backendLeft(const BackendLifetime &backend);
 
+    /** Sets where runs are recorded and whether their calls succeed is known; not owned. */
+    void setCalledRoutes(CalledRoutes *calledRoutes) { m_calledRoutes = calledRoutes; }
     void setPolicy(const ServicePolicy &policy);
     /** Sets whether the operator has taken this failure domain out. */
     void setDomainTakenOut(bool takenOut);
--- a/modules/owner/tests/test_backend_owner.cpp
+++ b/modules/owner/tests/test_backend_owner.cpp
@@ -587,4 +587,83 @@
     }
 }
 
+// Load pattern: the service that a run calls refuses everything, so that begun runs answer 500.
+TEST_CASE(
+        "a run whose calls are refused is refused unsent, with the time at which they may succeed")
+{
+    OwnerFixture fixture;
+    const SteadyTime now = fixture.timers.now();
+    CalledRoutes routes(CalledRoutesOptions{.startupTime = milliseconds(0)},
+                        now - std::chrono::minutes(5));
+    for (int second = 250; second > 0; --second) {
+        const SteadyTime at = now - std::chrono::seconds(second);
+        routes.runStarted("r", at);
+        routes.requestArrived("called", at + milliseconds(50));
+        routes.requestEnded("called", second < 20, milliseconds(350), at + milliseconds(55));
+        routes.runEnded("r", at + milliseconds(100));
+    }
+    for (int i = 0; i < 5; ++i)
+        routes.requestEnded("called", true, milliseconds(350), now);
+    SECTION("the owner does not know of called routes")
+    {
+        fixture.run("1");
+        CHECK(fixture.http.sentRequests.size() == 1);
+    }
+    SECTION("the owner knows")
+    {
+        fixture.owner.setCalledRoutes(&routes);
+        fixture.run("1");
+        CHECK(fixture.http.sentRequests.empty());
+        REQUIRE(fixture.results.size() == 1);
+        CHECK(fixture.results[0].verdict == Verdict::NotRun);
+        CHECK(fixture.results[0].retryAfter == milliseconds(350));
+    }
+}
+
+// Guards against aborts at the deadline: the usual time of runs is told and used at the owner.
+TEST_CASE("an owner whose backend server sends its load reports costs and refuses what cannot end")
+{
+    HeaderNames names = headerNames;
+    names.load = "Load";
+    FakeHttpClient http;
+    ManualTimerService timers;
+    PoisonRegistry poison{PoisonRegistryOptions{}};
+    RecordingObserver observer;
+    BackendOwner owner(BackendOwnerOptions{.node = "n", .service = "s", .headers = names}, http,
+                       timers, poison, observer);
+    REQUIRE(owner.heartbeat(BackendHeartbeat{.id = "i-1",
+                                             .service = "s",
+                                             .endpoint = {"127.0.0.1", 80},
+                                             .slots = 4,
+                                             .sequence = 1,
+                                             .startedAt = 1})
+                    .ok());
+    std::vector<WorkResult> results;
+    const auto run = [&](milliseconds timeLeft) {
+        const WorkRequest work{.request = {.method = "POST", .target = "/"},
+                               .route = "r",
+                               .service = "s",
+                               .timeLeft = timeLeft,
+                               .targetTimeLeft = timeLeft / 2};
+        owner.run(work, [&](const WorkResult &result) { results.push_back(result); });
+    };
+    for (int i = 0; i < 10; ++i) {
+        run(milliseconds(2'000));
+        timers.advance(milliseconds(300));
+        http.respond(200, {{"Seal", "x"}, {"Load", "1,0,4,150"}});
+    }
+    CHECK(owner.status().normalRunTime > milliseconds(190));
+    CHECK(owner.status().normalRunTime < milliseconds(250));
+    CHECK(owner.status().pacePercent == 150);
+    CHECK(owner.status().remainingWork == milliseconds(0));
+    const std::size_t sent = http.sentRequests.size();
+    for (int i = 0; i < 3; ++i)
+        run(milliseconds(2'000));
+    timers.advance(RunCosts::MaxSumAge);
+    CHECK(owner.status().remainingWork > milliseconds(700));
+    run(milliseconds(250));
+    CHECK(http.sentRequests.size() == sent + 3);
+    CHECK(results.back().refusal == WorkRefusal::Overloaded);
+}
+
 } // namespace jacinthshift
--- a/node/mesh_metrics.cpp
+++ b/node/mesh_metrics.cpp
@@ -60,6 +60,7 @@
     appendMetric("backend_normal_run_ms", backend.normalRunTime.count());
     appendMetric("backend_pace_percent", backend.pacePercent);
     appendMetric("backend_failures_per_thousand", backend.failuresPerThousand);
+    appendMetric("runs_refused_for_calls_total", sources.refusedRuns);
     appendLinkMetrics(text, network);
     const LogLosses losses = logLosses();
     appendMetric("log_lines_limited_total", losses.rateLimited);
--- a/node/mesh_metrics.h
+++ b/node/mesh_metrics.h
@@ -22,6 +22,7 @@
     const TableFollower &follower;
     const LoopMonitor &loop;
     BackendStatus backend;
+    std::uint32_t refusedRuns = 0; ///< Runs refused because their calls would be.
     std::uint64_t configVersion = 0;
     std::size_t callerConnections = 0;
     std::uint64_t abandonedRequests = 0;
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -139,6 +139,7 @@
     FleetNetwork network;
     PoisonRegistry poison;
     CrashExchange crashes;
+    CalledRoutes calledRoutes;
     BackendOwner owner;
     CallServer callServer;
     RemoteCallClient remoteCallClient;
@@ -242,6 +243,7 @@
               transport, timers)
     , poison(PoisonRegistryOptions{})
     , crashes(CrashExchangeOptions{}, network, timers, poison)
+    , calledRoutes(CalledRoutesOptions{}, timers.now())
     , owner(BackendOwnerOptions{.node = settings.node,
                                 .service = settings.service,
                                 .headers = wire::headerNames(),
@@ -268,6 +270,8 @@
     , metricsServer(HttpServerOptions{.serveClosedCallers = true})
 {
     network.addObserver(*this);
+    owner.setCalledRoutes(&calledRoutes);
+    forwarder.setCalledRoutes(&calledRoutes);
     table.setListener([this](const KeyedRecord &record) { handleOperatorRecord(record); });
 }
 
@@ -449,6 +453,7 @@
                             .follower = follower,
                             .loop = loopMonitor,
                             .backend = owner.status(),
+                            .refusedRuns = calledRoutes.refusedRuns(),
                             .configVersion = config.version,
                             .callerConnections = callerServer.connectionCount(),
                             .abandonedRequests = callerServer.abandonedRequests(),
