--- a/modules/owner/admission_queue.cpp
+++ b/modules/owner/admission_queue.cpp
@@ -87,11 +87,13 @@
 double AdmissionQueue::expectedWait(std::uint32_t ahead, double service) const
 {
     double wait = 0.0;
-    // The first answer makes all slots available; until then, those ahead do not block them.
-    if (m_limit < m_slots && m_running >= m_limit)
-        wait = service * (1.0 + static_cast<double>(ahead / m_slots));
-    else if (m_running >= m_limit)
+    if (m_limit < m_slots && m_running >= m_limit) {
+        // The first answer makes all slots available; until then, those ahead do not block them.
+        const std::uint32_t rounds = 1 + ahead / m_slots;
+        wait = service * rounds;
+    } else if (m_running >= m_limit) {
         wait = (ahead + 1) * meanServiceTimeOrDefault() / std::max(1U, m_limit);
+    }
     if (m_startsPerSecond > 0.0) {
         const double charged = std::max(0.0, -m_startTokens);
         wait = std::max(wait, (ahead + 1 + charged) * 1'000.0 / m_startsPerSecond);
--- a/modules/owner/backend_owner.cpp
+++ b/modules/owner/backend_owner.cpp
@@ -341,11 +341,12 @@
 }
 
 void BackendOwner::refuseNow(const Callback &callback, const WorkRequest &workRequest,
-                             WorkRefusal reason, std::chrono::milliseconds retryAfter)
+                             WorkRefusal reason, std::chrono::milliseconds retryAfter,
+                             std::string_view loggedReason)
 {
     logEvent(Event::AdmissionRefused,
              {{"request", findHeader(workRequest.request.headers, m_options.headers.requestId)},
-              {"reason", refusalName(reason)},
+              {"reason", loggedReason.empty() ? refusalName(reason) : loggedReason},
               {"running", m_admission.running()},
               {"waiting", m_admission.waiting()},
               {"limit", m_admission.limit()},
@@ -378,7 +379,7 @@
             m_calledRoutes == nullptr ? std::nullopt
                                       : m_calledRoutes->refusal(workRequest.route, now);
     if (untilCalls) {
-        refuseNow(callback, workRequest, WorkRefusal::Overloaded, *untilCalls);
+        refuseNow(callback, workRequest, WorkRefusal::Overloaded, *untilCalls, "calls-refused");
         return 0;
     }
     m_admission.setMeanRunTime(m_costs.meanTime(now));
--- a/modules/owner/backend_owner.h
+++ b/modules/owner/backend_owner.h
@@ -161,7 +161,7 @@
     /** Removes a request that is queued or runs. */
     Work take(std::unordered_map<std::uint64_t, Work>::iterator work);
     void refuseNow(const Callback &callback, const WorkRequest &workRequest, WorkRefusal reason,
-                   std::chrono::milliseconds retryAfter);
+                   std::chrono::milliseconds retryAfter, std::string_view loggedReason = {});
     void start(std::uint64_t id);
     HttpRequest buildBackendRequest(const Work &work, std::chrono::milliseconds timeLeft) const;
     void answered(std::uint64_t id, HttpResult result);
