Selector: lend capacity between failure domains before queues form

The demand of domains varies out of phase, and an owner in another domain was used only once those in the own domain were too slow for the target latency.

Above 0.6 of the slots in use, a domain sends a part of its requests to less utilised ones: half of the difference of utilisation, at most what exceeds 0.6 and at most half. The part grows with the difference, so it does not swing; a test with figures a second old keeps within 4 of 18 slots.

Only where all compared owners report costs.

--- a/modules/forwarding/owner_selector.h
+++ b/modules/forwarding/owner_selector.h
@@ -51,7 +51,7 @@
      * utilised ones although its own owners are still fast enough. Half of the difference evens
      * out two domains; more would make the load swing between them.
      */
-    double maxLentFraction = 0.0;
+    double maxLentFraction = 0.5;
 };
 
 /** An owner that is eligible for a request. */
--- a/modules/forwarding/tests/test_cost_based_selection.cpp
+++ b/modules/forwarding/tests/test_cost_based_selection.cpp
@@ -118,6 +118,52 @@
     }
 }
 
+// Load pattern: demand of domains varies with a period of 15 s, out of phase.
+TEST_CASE("uneven demand: a busier domain lends out some requests before it is full, never most")
+{
+    const auto lentAt = [](std::uint32_t ownOpen, std::uint32_t otherOpen) {
+        return countChoices({candidate("near", true, ownOpen, milliseconds(200)),
+                             candidate("far", false, otherOpen, milliseconds(200))})["far"];
+    };
+    CHECK(lentAt(8, 0) == 0);
+    CHECK(lentAt(16, 16) == 0);
+    CHECK(lentAt(14, 4) > 50);
+    CHECK(lentAt(17, 4) > lentAt(14, 4));
+    CHECK(lentAt(18, 0) <= 500);
+}
+
+// Load pattern: two domains with demands of 1.2 and 0.4 of their slots, by figures a second old.
+TEST_CASE("uneven demand: lending by old figures settles and does not swing between two domains")
+{
+    constexpr int Draws = 5'000;
+    double open[2] = {18.0, 4.0};
+    const double demand[2] = {18.0 * 1.2, 18.0 * 0.4};
+    OwnerSelector selector(OwnerSelectorOptions{}, 5);
+    double lowest = 1e9;
+    double highest = 0.0;
+    for (int second = 0; second < 40; ++second) {
+        double next[2] = {0.0, 0.0};
+        for (int domain = 0; domain < 2; ++domain) {
+            std::vector<OwnerCandidate> owners = {
+                    candidate("a", domain == 0, static_cast<std::uint32_t>(open[0]),
+                              milliseconds(200)),
+                    candidate("b", domain == 1, static_cast<std::uint32_t>(open[1]),
+                              milliseconds(200))};
+            for (int i = 0; i < Draws; ++i)
+                next[*selector.choose(owners, {.targetTimeLeft = milliseconds(800)})] +=
+                        demand[domain] / Draws;
+        }
+        for (int domain = 0; domain < 2; ++domain)
+            open[domain] = 0.5 * open[domain] + 0.5 * next[domain];
+        if (second < 10)
+            continue;
+        lowest = std::min(lowest, open[0]);
+        highest = std::max(highest, open[0]);
+    }
+    CHECK(highest <= 18.0);
+    CHECK(highest - lowest <= 4.0);
+}
+
 // Guards against changed decisions where some owners report no costs.
 TEST_CASE("without costs of all compared owners the choice is made as before")
 {
