--- a/core/event.cpp
+++ b/core/event.cpp
@@ -87,6 +87,7 @@
             {Event::CrashSuspected, "CrashSuspected", EventLevel::Warning, false},
             {Event::PoisonRefused, "PoisonRefused", EventLevel::Warning, false},
             {Event::HolderEvicted, "HolderEvicted", EventLevel::Warning, true},
+            {Event::EntryRefused, "EntryRefused", EventLevel::Info, true},
     };
     return catalogue;
 }
--- a/core/event.h
+++ b/core/event.h
@@ -98,6 +98,7 @@
     CrashSuspected = 5020,
     PoisonRefused = 5021,
     HolderEvicted = 5030,
+    EntryRefused = 5031,
 };
 
 /** The catalogue entry of an event. */
--- a/modules/forwarding/forwarder.h
+++ b/modules/forwarding/forwarder.h
@@ -8,8 +8,10 @@
 #include <unordered_map>
 #include <vector>
 
+#include "modules/cost/called_routes.h"
 #include "modules/fleet/call_server.h"
 #include "modules/fleet/remote_call_client.h"
+#include "modules/forwarding/entry_admission.h"
 #include "modules/forwarding/owner_directory.h"
 #include "modules/forwarding/owner_selector.h"
 #include "modules/forwarding/service_retry_budgets.h"
@@ -28,6 +30,7 @@
     std::string callerService; ///< Service on this VM, to which the callers on it belong.
     HeaderNames headers;
     OwnerSelectorOptions selector;
+    EntryAdmissionOptions entry;
     RetryLimits retries; ///< Limits for all nodes together.
     std::uint64_t randomSeed = 0;
     /** Mean size from which the responses of a route wait for others on the owner's link. */
@@ -105,6 +108,8 @@
         std::uint64_t callId = 0; ///< Id of the current attempt at the local or remote owner.
         std::chrono::milliseconds retryHint{0}; ///< Shortest Retry-After of the owners asked.
         WorkRefusal lastRefusal = WorkRefusal::None;
+        bool noOwnerInTime = false; ///< It was refused here; see EntryAdmission.
+        bool ownersReportCosts = false;
         std::unique_ptr<HttpResponse> errorResponse; ///< A backend server's last error response.
         Timer timeout;
     };
@@ -118,9 +123,11 @@
     TrafficMetrics &m_metrics;
     OwnerDirectory m_owners;
     OwnerSelector m_selector;
+    EntryAdmission m_entry;
     ServiceRetryBudgets m_budgets;
     RouteTable *m_routes = nullptr;
     KeyCheck *m_keyCheck = nullptr;
+    CalledRoutes *m_calledRoutes = nullptr;
     /** Longest deadline that callers have sent, by route. */
     std::unordered_map<std::string, std::chrono::milliseconds> m_longestDeadline;
     /** Mean response times in milliseconds. */
@@ -181,6 +188,9 @@
     void setRoutes(RouteTable *routes) { m_routes = routes; }
     /** Sets the check of workspace keys, which is not owned; it applies while it is enabled. */
     void setKeyCheck(KeyCheck *keyCheck) { m_keyCheck = keyCheck; }
+    /** Sets where requests are observed as possible calls of this VM's backend server; not owned.
+     */
+    void setCalledRoutes(CalledRoutes *calledRoutes) { m_calledRoutes = calledRoutes; }
     /** Sets the number of nodes that share the operator's retry limits. */
     void setNodeCount(std::size_t nodeCount) { m_budgets.setNodeCount(nodeCount); }
     /** Returns whether a request may be repeated, according to its route. */
--- a/modules/owner/backend_owner.cpp
+++ b/modules/owner/backend_owner.cpp
@@ -242,7 +242,8 @@
 void BackendOwner::updateConcurrencyLimit()
 {
     const std::uint32_t slots = m_registration.current()->slots;
-    m_admission.setLimit(m_hasAnswer ? slots : std::min(slots, m_options.maxRunningBeforeAnswer));
+    m_admission.setLimit(m_hasAnswer ? slots : std::min(slots, m_options.maxRunningBeforeAnswer),
+                         slots);
 }
 
 void BackendOwner::recordAnswerHeaders(const Work &work, const std::vector<HttpHeader> &headers)
@@ -347,11 +348,12 @@
 }
 
 void BackendOwner::refuseNow(const Callback &callback, const WorkRequest &workRequest,
-                             WorkRefusal reason, std::chrono::milliseconds retryAfter)
+                             WorkRefusal reason, std::chrono::milliseconds retryAfter,
+                             std::string_view loggedReason)
 {
     logEvent(Event::AdmissionRefused,
              {{"request", findHeader(workRequest.request.headers, m_options.headers.requestId)},
-              {"reason", refusalName(reason)},
+              {"reason", loggedReason.empty() ? refusalName(reason) : loggedReason},
               {"running", m_admission.running()},
               {"waiting", m_admission.waiting()},
               {"limit", m_admission.limit()},
@@ -380,17 +382,28 @@
         return 0;
     }
     updateStartRate();
+    const std::optional<std::chrono::milliseconds> untilCalls =
+            m_calledRoutes == nullptr ? std::nullopt
+                                      : m_calledRoutes->refusal(workRequest.route, now);
+    if (untilCalls) {
+        refuseNow(callback, workRequest, WorkRefusal::Overloaded, *untilCalls, "calls-refused");
+        return 0;
+    }
+    m_admission.setMeanRunTime(m_costs.meanTime(now));
     const std::uint64_t id = ++m_lastWorkId;
     const SteadyTime deadline = now + std::max(workRequest.timeLeft - AnswerMargin, AnswerMargin);
-    const AdmissionDecision decision =
-            m_admission.offer(AdmissionTicket{.id = id,
-                                              .route = workRequest.route,
-                                              .workspace = workRequest.workspace,
-                                              .priority = workRequest.priority,
-                                              .isCallerRetry = workRequest.isCallerRetry,
-                                              .targetAt = now + workRequest.targetTimeLeft,
-                                              .deadline = deadline},
-                              now);
+    const AdmissionDecision decision = m_admission.offer(
+            AdmissionTicket{.id = id,
+                            .route = workRequest.route,
+                            .workspace = workRequest.workspace,
+                            .priority = workRequest.priority,
+                            .isCallerRetry = workRequest.isCallerRetry,
+                            .targetAt = now + workRequest.targetTimeLeft,
+                            .deadline = deadline,
+                            .expectedTime = m_costs.expectedTime(workRequest.route,
+                                                                 workRequest.workspace, now)
+                                                    .value_or(std::chrono::milliseconds(0))},
+            now);
     if (decision.kind == AdmissionDecision::Kind::Refuse) {
         refuseNow(callback, workRequest, decision.reason, decision.expectedWait);
         return 0;
@@ -470,6 +483,8 @@
     m_recentStarts.record(now);
     work.startedAt = now;
     m_costs.started(id, now);
+    if (m_calledRoutes != nullptr)
+        m_calledRoutes->runStarted(work.request.route, now);
     work.backend = backend.id;
     work.lifetime = m_lifetime;
     const std::chrono::milliseconds timeLeft =
@@ -698,6 +713,8 @@
     Work taken = std::move(work->second);
     m_heldBodyBytes -= taken.request.request.body.size();
     m_costs.ended(work->first);
+    if (m_calledRoutes != nullptr && taken.startedAt != SteadyTime())
+        m_calledRoutes->runEnded(taken.request.route, m_timers.now());
     m_work.erase(work);
     return taken;
 }
--- a/modules/owner/backend_owner.h
+++ b/modules/owner/backend_owner.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "modules/admission/poison_registry.h"
+#include "modules/cost/called_routes.h"
 #include "modules/fleet/call_server.h"
 #include "modules/owner/admission_queue.h"
 #include "modules/owner/backend_probe.h"
@@ -132,6 +133,7 @@
     BackendRegistration m_registration;
     AdmissionQueue m_admission;
     RequestRateLimit m_rateLimit;
+    CalledRoutes *m_calledRoutes = nullptr;
     RunCosts m_costs; ///< Of the current backend server.
     ServicePolicy m_policy;
     std::unordered_map<std::uint64_t, Work> m_work;
@@ -163,7 +165,7 @@
     /** Removes a request that is queued or runs. */
     Work take(std::unordered_map<std::uint64_t, Work>::iterator work);
     void refuseNow(const Callback &callback, const WorkRequest &workRequest, WorkRefusal reason,
-                   std::chrono::milliseconds retryAfter);
+                   std::chrono::milliseconds retryAfter, std::string_view loggedReason = {});
     void start(std::uint64_t id);
     HttpRequest buildBackendRequest(const Work &work, std::chrono::milliseconds timeLeft) const;
     void answered(std::uint64_t id, HttpResult result);
@@ -209,6 +211,8 @@
      */
     void backendLeft(const BackendLifetime &backend);
 
+    /** Sets where runs are recorded and whether their calls succeed is known; not owned. */
+    void setCalledRoutes(CalledRoutes *calledRoutes) { m_calledRoutes = calledRoutes; }
     void setPolicy(const ServicePolicy &policy);
     /** Sets whether the operator has taken this failure domain out. */
     void setDomainTakenOut(bool takenOut);
--- a/node/mesh_metrics.h
+++ b/node/mesh_metrics.h
@@ -29,6 +29,7 @@
     /** Time since the configuration in force was known to be the newest, if ever. */
     std::optional<std::chrono::milliseconds> knowledgeAge;
     BackendStatus backend;
+    std::uint32_t refusedRuns = 0; ///< Runs refused because their calls would be.
     std::uint64_t configVersion = 0;
     std::size_t callerConnections = 0;
     std::uint64_t abandonedRequests = 0;
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -222,6 +222,7 @@
     FleetNetwork network;
     PoisonRegistry poison;
     CrashExchange crashes;
+    CalledRoutes calledRoutes;
     BackendOwner owner;
     CallServer callServer;
     RemoteCallClient remoteCallClient;
@@ -380,6 +381,7 @@
               transport, timers)
     , poison(PoisonRegistryOptions{})
     , crashes(CrashExchangeOptions{}, network, timers, poison)
+    , calledRoutes(CalledRoutesOptions{}, timers.now())
     , owner(BackendOwnerOptions{.node = settings.node,
                                 .service = settings.service,
                                 .headers = wire::headerNames(),
@@ -414,6 +416,8 @@
         usage = std::make_unique<UsageReporting>(*this);
     network.addObserver(*this);
     follower.setReadListener(bootClock, [this](BootTime sentAt) { knowledge.tableRead(sentAt); });
+    owner.setCalledRoutes(&calledRoutes);
+    forwarder.setCalledRoutes(&calledRoutes);
     table.setListener([this](const KeyedRecord &record) { handleOperatorRecord(record); });
     table.setRestoreListener([this](std::uint64_t era) { logRestored(era); });
 }
@@ -612,6 +616,7 @@
                             .keysVerified = keyCheck.isVerified(),
                             .knowledgeAge = knowledge.age(bootClock.now()),
                             .backend = owner.status(),
+                            .refusedRuns = calledRoutes.refusedRuns(),
                             .configVersion = config.version,
                             .callerConnections = callerServer.connectionCount(),
                             .abandonedRequests = callerServer.abandonedRequests(),
