Tests: complete exchanges, costly connections, valid frames, mixes and lone requests

The crowds so far send bytes that are no request, or ask one after the other. New are crowds that ask for long responses at the same moment or pipelined, that leave complete bodies and heads with a backend server that never answers, that stall bodies of many sizes, that reset; connections in their thousands; valid frames of links (names, states, contacts, compressed frames and pages, calls, replies that nobody reads); mixes on each address and on all; the same with the backend server on another node; and lone requests and responses at maxBodyBytes and maxHeaderBytes.

--- a/tests/hostile/hostile_bench.cpp
+++ b/tests/hostile/hostile_bench.cpp
@@ -10,6 +10,7 @@
 #include <glib.h>
 
 #include "core/duration.h"
+#include "core/hash.h"
 #include "core/text.h"
 #include "platform/tests/record_encoder.h"
 #include "platform/wire_names.h"
@@ -28,11 +29,11 @@
 /** The memory of the smallest VM. It limits the data of the process and its resident memory. */
 constexpr std::size_t MemoryMegabytes = 160;
 constexpr std::size_t BytesPerMegabyte = 1024UL * 1024UL;
-/** Files that the process may open: the limit of the process and max_files of its settings. */
-constexpr std::size_t MaxFiles = 400;
 constexpr std::size_t LongBytes = 6 * BytesPerMegabyte; ///< Response to a request below /long/.
 constexpr std::size_t PageBytes = 256UL * 1024UL;       ///< Response to a request below /page/.
 constexpr std::size_t ShortBytes = 600;
+constexpr std::size_t LargestBackendBody = 128 * BytesPerMegabyte;
+constexpr std::size_t ManyBackendBodies = 1024 * BytesPerMegabyte;
 constexpr milliseconds StepPeriod{5};
 constexpr milliseconds SamplePeriod{50};
 constexpr milliseconds HeartbeatPeriod{500};
@@ -43,6 +44,9 @@
 /** Only a node that hangs needs longer; it may refuse requests until the crowd is refused. */
 constexpr seconds ServeTime{60};
 constexpr milliseconds RetryPause{300};
+/** Only a node that hangs needs longer for a lone request. */
+constexpr seconds LoneRequestTime{60};
+constexpr int LoneRequestCount = 3;
 
 std::size_t peakResidentBytes(pid_t pid)
 {
@@ -63,17 +67,52 @@
     return error ? 0 : static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
 }
 
+constexpr std::string_view SizedPath = "/sized/"; ///< Followed by the bytes of the response.
+
+/** Returns a text that is the same only for equal bodies. */
+std::string bodySummary(const std::string &body)
+{
+    return joinText(body.size(), " ", stableHash(body));
+}
+
+/** Returns the bytes of a body, in one piece or in chunks. */
+std::string encodeBody(const std::string &body, bool isChunked)
+{
+    constexpr std::size_t ChunkBytes = 0x10000;
+    if (!isChunked)
+        return joinText("Content-Length: ", body.size(), "\r\n\r\n", body);
+    std::string bytes = "Transfer-Encoding: chunked\r\n\r\n";
+    bytes.reserve(body.size() + body.size() / 1'000);
+    for (std::size_t at = 0; at < body.size(); at += ChunkBytes)
+        bytes.append("10000\r\n").append(body, at, ChunkBytes).append("\r\n");
+    return bytes + "0\r\n\r\n";
+}
+
 std::uint16_t portOf(HostileTarget target)
 {
-    if (target == HostileTarget::Callers)
+    switch (target) {
+    case HostileTarget::Callers:
         return 8080;
-    return target == HostileTarget::Control ? 8082 : 7000;
+    case HostileTarget::Readiness:
+        return 8081;
+    case HostileTarget::Control:
+        return 8082;
+    case HostileTarget::Metrics:
+        return 9901;
+    case HostileTarget::Links:
+        break;
+    }
+    return 7000;
 }
 
 } // namespace
 
-HostileBench::HostileBench(std::string binaryDirectory)
-    : m_binaryDirectory(std::move(binaryDirectory)), m_store(m_timers)
+HostileBench::HostileBench(std::string binaryDirectory, const HostileSetup &setup)
+    : m_setup(setup)
+    , m_binaryDirectory(std::move(binaryDirectory))
+    , m_store(m_timers)
+    , m_backend(HttpServerOptions{.maxBodyBytes = LargestBackendBody,
+                                  .maxHeldBodyBytes = ManyBackendBodies})
 {
     m_directory = joinText(std::filesystem::temp_directory_path().string(),
                            "/jacinthshift-hostile-", getpid());
@@ -103,7 +142,7 @@
          << "\n  control: " << listen(8082) << "\n  links: " << listen(7000)
          << "\n  metrics: " << listen(9901) << "\nplatform:\n  store: " << m_network.prefix()
          << ".250.1:6000\nseeds: [" << endpoint(0, 8082).text() << ", " << endpoint(1, 8082).text()
-         << "]\nlimits:\n  max_files: " << MaxFiles << "\n";
+         << "]\nlimits:\n  max_files: " << m_setup.maxFiles << "\n";
 }
 
 bool HostileBench::startNode(Node &node) const
@@ -111,9 +150,9 @@
     writeSettings(node);
     // The shell sets the limits and then becomes the node.
     const std::string command =
-            joinText("ulimit -d ", MemoryMegabytes * 1024, "; ulimit -n ", MaxFiles, "; exec ",
-                     m_binaryDirectory, "/jacinthshift mesh-node --settings=", m_directory, "/",
-                     node.name, ".yaml");
+            joinText("ulimit -d ", MemoryMegabytes * 1024, "; ulimit -n ", m_setup.maxFiles,
+                     "; exec ", m_binaryDirectory,
+                     "/jacinthshift mesh-node --settings=", m_directory, "/", node.name, ".yaml");
     return node.process.start({"/bin/sh", "-c", command},
                               joinText(m_directory, "/", node.name, ".log"));
 }
@@ -122,19 +161,21 @@
 {
     TrafficConfig config{.version = 1,
                          .limits = {.maxHeaderBytes = 16'384,
-                                    .maxBodyBytes = BytesPerMegabyte,
+                                    .maxBodyBytes = m_setup.maxBodyBytes,
                                     .headerTimeout = milliseconds(1'000),
                                     .idleTimeout = milliseconds(3'000)}};
-    for (const char *name : {"long", "page", "book"}) {
-        const bool idempotent = std::string_view(name) != "book";
-        config.routes.push_back({.name = name,
-                                 .host = Host,
-                                 .prefix = joinText("/", name, "/"),
-                                 .idempotent = idempotent,
-                                 .timeout = milliseconds(10'000),
-                                 .targetLatency = milliseconds(1'000),
-                                 .maxAttempts = 3,
-                                 .parts = {{.service = "dispatch"}}});
+    const std::string_view notIdempotent[] = {"book", "keep", "echo"};
+    const std::string_view slow[] = {"echo", "sized"};
+    for (const std::string_view name : {"long", "page", "book", "hold", "keep", "echo", "sized"}) {
+        config.routes.push_back(
+                {.name = std::string(name),
+                 .host = Host,
+                 .prefix = joinText("/", name, "/"),
+                 .idempotent = std::ranges::count(notIdempotent, name) == 0,
+                 .timeout = std::ranges::count(slow, name) > 0 ? LoneRequestTime : seconds(10),
+                 .targetLatency = milliseconds(1'000),
+                 .maxAttempts = 3,
+                 .parts = {{.service = "dispatch"}}});
     }
     config.services["dispatch"] = ServicePolicy{
             .healthPath = "/health", .maxConnections = 100, .coldRequestsPerSecond = 1'000.0};
@@ -145,7 +186,7 @@
 {
     m_startedAt = static_cast<std::uint64_t>(unixMilliseconds(std::chrono::system_clock::now()));
     const absl::Status status = m_backend.listen(
-            endpoint(0, 9000),
+            endpoint(m_setup.backendNode, 9000),
             [this](const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder) {
                 serve(request, responder);
             });
@@ -155,13 +196,19 @@
 }
 
 void HostileBench::serve(const HttpRequest &request,
-                         const std::shared_ptr<HttpResponder> &responder) const
+                         const std::shared_ptr<HttpResponder> &responder)
+{
+    if (request.target.starts_with("/hold/") || request.target.starts_with("/keep/"))
+        m_unanswered.push_back(responder);
+    else
+        responder->respond(makeResponse(request));
+}
+
+HttpResponse HostileBench::makeResponse(const HttpRequest &request) const
 {
     HttpResponse response{.headers = {{names.instance, BackendId}, {names.load, "0,0,64"}}};
-    if (request.target == "/health") {
-        responder->respond(response);
-        return;
-    }
+    if (request.target == "/health")
+        return response;
     const std::string_view id = findHeader(request.headers, names.requestId);
     if (!id.empty())
         response.headers.push_back({names.requestId, std::string(id)});
@@ -170,9 +217,12 @@
         bytes = LongBytes;
     else if (request.target.starts_with("/page/"))
         bytes = PageBytes;
-    response.body = std::string(bytes, 'r');
+    else if (request.target.starts_with(SizedPath))
+        parseNumber(request.target.substr(SizedPath.size()), bytes);
+    const bool echoes = request.target.starts_with("/echo/");
+    response.body = echoes ? bodySummary(request.body) : std::string(bytes, 'r');
     response.headers.push_back({names.seal, "0"});
-    responder->respond(response);
+    return response;
 }
 
 void HostileBench::sendHeartbeat()
@@ -181,11 +231,12 @@
                                      .service = "dispatch",
                                      .version = "v1",
                                      .domain = "zone-0",
-                                     .endpoint = endpoint(0, 9000),
+                                     .endpoint = endpoint(m_setup.backendNode, 9000),
                                      .slots = 64,
                                      .sequence = ++m_heartbeatSequence,
                                      .startedAt = m_startedAt};
-    m_http.send(HttpSendOptions{.server = endpoint(0, 8082), .timeout = milliseconds(1'000)},
+    m_http.send(HttpSendOptions{.server = endpoint(m_setup.backendNode, 8082),
+                                .timeout = milliseconds(1'000)},
                 HttpRequest{.method = "PUT",
                             .target = joinText(wire::InstancesPath, BackendId),
                             .headers = {{"Content-Type", "application/json"}},
@@ -264,31 +315,79 @@
 
 std::vector<std::string> HostileBench::play(const HostileCase &hostileCase)
 {
-    HostileCrowd crowd(hostileCase, endpoint(0, portOf(hostileCase.target)));
-    const Timer stepTimer(m_timers, m_timers.startPeriodic(StepPeriod, [&crowd] { crowd.step(); }));
+    std::vector<std::unique_ptr<HostileCrowd>> crowds;
+    const auto addCrowd = [this, &crowds](const HostileCase &crowd) {
+        if (crowd.clients > 0)
+            crowds.push_back(
+                    std::make_unique<HostileCrowd>(crowd, endpoint(0, portOf(crowd.target))));
+    };
+    addCrowd(hostileCase);
+    for (const HostileCase &crowd : hostileCase.beside)
+        addCrowd(crowd);
+    const Timer stepTimer(m_timers, m_timers.startPeriodic(StepPeriod, [&crowds] {
+        for (const auto &crowd : crowds)
+            crowd->step();
+    }));
     std::size_t sent = 0;
     SteadyTime progressAt = m_timers.now();
     waitFor(MaxPlayTime, [&] {
-        if (crowd.sentBytes() != sent)
+        std::size_t sentNow = 0;
+        for (const auto &crowd : crowds)
+            sentNow += crowd->sentBytes();
+        if (std::exchange(sent, sentNow) != sentNow)
             progressAt = m_timers.now();
-        sent = crowd.sentBytes();
-        return crowd.isDone() || !nodesLive() || m_timers.now() - progressAt > StallTime;
+        const bool done = std::all_of(crowds.begin(), crowds.end(),
+                                      [](const auto &crowd) { return crowd->isDone(); });
+        return done || !nodesLive() || m_timers.now() - progressAt > StallTime;
     });
     waitFor(hostileCase.holdTime, [this] { return !nodesLive(); });
     // Requests to the node with the attacked link port come over its links from the other node.
     const bool served = isServed(hostileCase.target == HostileTarget::Links ? 1 : 0, ServeTime);
-    sampleNodes();
-    std::vector<std::string> failures;
+    std::vector<std::string> failures = exceededLimits();
     if (!served)
         failures.emplace_back("no ordinary request was answered afterwards");
+    return failures;
+}
+
+std::vector<std::string> HostileBench::sendAlone(const LoneRequestCase &request)
+{
+    const std::string path = request.responseBytes > 0 ? joinText(SizedPath, request.responseBytes)
+                                                       : std::string("/echo/lone");
+    const std::string body(request.bodyBytes, 'b');
+    std::string head =
+            joinText(request.bodyBytes > 0 ? "POST " : "GET ", path, " HTTP/1.1\r\nHost: ", Host,
+                     "\r\n", names.requestId, ": lone\r\n", names.deadline, ": 60000\r\n");
+    for (std::size_t line = 0; line < request.headLines; ++line)
+        head += "a:\r\n";
+    const std::string expected =
+            request.responseBytes > 0 ? std::string(request.responseBytes, 'r') : bodySummary(body);
+    std::vector<std::string> failures;
+    for (int i = 1; i <= LoneRequestCount && nodesLive(); ++i) {
+        LoneRequest exchange(endpoint(0, 8080), head + encodeBody(body, request.isChunked));
+        waitFor(LoneRequestTime, [&] { return exchange.isDone() || !nodesLive(); });
+        if (!exchange.statusLine().starts_with("HTTP/1.1 200"))
+            failures.push_back(joinText("request ", i, " was answered: ", exchange.statusLine()));
+        else if (exchange.body() != expected)
+            failures.push_back(joinText("request ", i, " has another response body"));
+    }
+    for (const std::string &line : exceededLimits())
+        failures.push_back(line);
+    return failures;
+}
+
+std::vector<std::string> HostileBench::exceededLimits()
+{
+    sampleNodes();
+    std::vector<std::string> failures;
     for (const std::unique_ptr<Node> &node : m_nodes) {
         if (!node->lives)
             failures.push_back(
                     joinText(node->name, " ended with status ", node->process.exitCode()));
         if (node->peakMemory > MemoryMegabytes * BytesPerMegabyte)
             failures.push_back(joinText(node->name, " used more than ", MemoryMegabytes, " MB"));
-        if (node->peakDescriptors >= MaxFiles)
-            failures.push_back(joinText(node->name, " opened all ", MaxFiles, " descriptors"));
+        if (node->peakDescriptors >= m_setup.maxFiles)
+            failures.push_back(
+                    joinText(node->name, " opened all ", m_setup.maxFiles, " descriptors"));
     }
     return failures;
 }
--- a/tests/hostile/hostile_case.cpp
+++ b/tests/hostile/hostile_case.cpp
@@ -4,6 +4,7 @@
 
 #include "core/text.h"
 #include "platform/wire_names.h"
+#include "tests/hostile/hostile_case_groups.h"
 
 namespace jacinthshift {
 
@@ -198,6 +199,10 @@
                      .clients = TooManyClients,
                      .reconnects = 3,
                      .holdTime = std::chrono::seconds(10)});
+    addExchangeCases(cases);
+    addConnectionCases(cases);
+    addLinkFrameCases(cases);
+    addMixedCases(cases);
     return cases;
 }
 
--- a/tests/hostile/hostile_crowd.cpp
+++ b/tests/hostile/hostile_crowd.cpp
@@ -18,11 +18,23 @@
 constexpr int ReceiveBufferBytes = 4 * 1024;
 constexpr std::size_t MaxStepBytes = 64 * 1024;
 
+std::string withCounter(std::string text, std::size_t counter)
+{
+    std::string digits = std::to_string(counter % 100'000'000);
+    digits.insert(0, CounterText.size() - digits.size(), '0');
+    for (std::size_t at = text.find(CounterText); at != std::string::npos;
+         at = text.find(CounterText, at))
+        text.replace(at, digits.size(), digits);
+    return text;
+}
+
 } // namespace
 
 HostileCrowd::HostileCrowd(const HostileCase &hostileCase, Endpoint server)
     : m_case(hostileCase), m_server(std::move(server)), m_clients(hostileCase.clients)
 {
+    for (std::size_t i = 0; i < m_clients.size(); ++i)
+        m_clients[i].number = i;
 }
 
 HostileCrowd::~HostileCrowd()
@@ -64,29 +76,49 @@
     client.descriptor = -1;
 }
 
-void HostileCrowd::write(Client &client)
+std::string HostileCrowd::nextBytes(const Client &client, std::size_t wanted) const
 {
-    if (hasSentAll(client))
-        return;
+    const std::size_t connection = client.number * (m_case.reconnects + 1) + client.opened;
     std::string bytes;
     if (client.offset < m_case.opening.size())
-        bytes = m_case.opening.substr(client.offset);
-    const std::size_t wanted = std::max(bytes.size(), m_case.writeBytes);
-    if (!m_case.repeated.empty()) {
-        // Continues within the repeated text where the previous write ended.
-        const std::size_t done = client.offset + bytes.size() - m_case.opening.size();
-        std::size_t position = done % m_case.repeated.size();
-        while (bytes.size() < wanted) {
-            bytes += m_case.repeated.substr(position);
-            position = 0;
-        }
+        bytes = withCounter(m_case.opening, connection).substr(client.offset);
+    if (m_case.repeated.empty())
+        return bytes;
+    // Continues within the repeated text where the previous write ended.
+    const std::size_t done = client.offset + bytes.size() - m_case.opening.size();
+    std::size_t repetition = done / m_case.repeated.size();
+    std::size_t position = done % m_case.repeated.size();
+    while (bytes.size() < wanted) {
+        bytes += withCounter(m_case.repeated, connection * 10'000 + repetition).substr(position);
+        ++repetition;
+        position = 0;
     }
+    return bytes;
+}
+
+void HostileCrowd::reset(Client &client) const
+{
+    const linger atOnce{.l_onoff = 1, .l_linger = 0};
+    setsockopt(client.descriptor, SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
+    disconnect(client);
+}
+
+void HostileCrowd::write(Client &client)
+{
+    if (hasSentAll(client))
+        return;
+    std::string bytes = nextBytes(client, m_case.writeBytes);
+    const std::size_t wanted =
+            std::max(m_case.opening.size() - std::min(m_case.opening.size(), client.offset),
+                     m_case.writeBytes);
     bytes.resize(std::min({bytes.size(), wanted, m_case.maxBytes - client.sent}));
     const ssize_t written =
             send(client.descriptor, bytes.data(), bytes.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
     if (written >= 0) {
         client.offset += static_cast<std::size_t>(written);
         client.sent += static_cast<std::size_t>(written);
+        if (m_case.resets && client.offset >= m_case.opening.size())
+            reset(client);
     } else if (errno != EAGAIN && errno != ENOTCONN) {
         disconnect(client);
     }
@@ -106,7 +138,7 @@
 bool HostileCrowd::hasSentAll(const Client &client) const
 {
     return client.sent >= m_case.maxBytes
-           || (m_case.repeated.empty() && client.offset >= m_case.opening.size());
+           || (m_case.repeated.empty() && !m_case.resets && client.offset >= m_case.opening.size());
 }
 
 void HostileCrowd::step()
--- a/tests/hostile/hostile_crowd.h
+++ b/tests/hostile/hostile_crowd.h
@@ -15,6 +15,7 @@
     struct Client
     {
         int descriptor = -1;
+        std::size_t number = 0;
         std::size_t opened = 0; ///< Connections so far.
         std::size_t offset = 0; ///< Bytes sent on the current connection.
         std::size_t sent = 0;   ///< Bytes sent on all connections.
@@ -29,8 +30,11 @@
 
     void connect(Client &client);
     void disconnect(Client &client) const;
+    void reset(Client &client) const;
     void write(Client &client);
     void read(Client &client) const;
+    /** Returns at least the wanted number of bytes that follow those sent on the connection. */
+    std::string nextBytes(const Client &client, std::size_t wanted) const;
     bool hasSentAll(const Client &client) const;
 
 public:
