Links: bound what compressed frames expand to

A client of the link address ended a node with frames of 64 KB that expand to 64 MB (std::bad_alloc within a second): the library checks the size of a message as it is on the wire and expands it without a limit.

The session now expands a kilobyte of input at a time and asks before it goes on whether the message may take what it has expanded to: at most maxFrameBytes, and counted with the process's other held bytes. A closed channel frees its session and its output at once instead of in the next iteration; else, in one iteration, 40 links would each hold 8 MB beyond the account.

Unit test for both bounds.

--- a/drivers/tests/test_websocket_session.cpp
+++ b/drivers/tests/test_websocket_session.cpp
@@ -29,6 +29,9 @@
         events.frame = [this](const std::string &frame) {
             received = frame;
         };
+        events.mayExpand = [this](std::size_t bytes) {
+            return bytes <= maxExpandedBytes;
+        };
         events.closed = [] {
         };
         events.write = [&output](const char *data, std::size_t size) {
@@ -40,6 +43,7 @@
 public:
     int opened = 0;
     std::string received;
+    std::size_t maxExpandedBytes = MaxFrameBytes;
 
     SessionPair()
         : m_accepting(WebsocketSession::accept(events(m_toConnecting), MaxFrameBytes))
@@ -102,6 +106,25 @@
     }
 }
 
+// Guards against a few bytes that expand to more than the memory of the VM.
+TEST_CASE("a compressed frame that expands to more than is allowed ends the session")
+{
+    SessionPair pair;
+    pair.connecting().setCompression(true);
+    SECTION("than a frame may have")
+    {
+        REQUIRE(pair.connecting().send(std::string(MaxFrameBytes + 1, 'z')));
+    }
+    SECTION("than there is room for")
+    {
+        pair.maxExpandedBytes = 10'000;
+        REQUIRE(pair.connecting().send(std::string(100'000, 'z')));
+    }
+    pair.exchange();
+    CHECK(pair.received.empty());
+    CHECK_FALSE(pair.accepting().send("more"));
+}
+
 TEST_CASE("one end of a link uses less than 100 KB of memory")
 {
     // A node may have 256 MB of memory and, in a mesh of full size, about a thousand links, some of
--- a/drivers/websocket/websocket_link_transport.cpp
+++ b/drivers/websocket/websocket_link_transport.cpp
@@ -1,5 +1,6 @@
 #include "drivers/websocket/websocket_link_transport.h"
 
+#include <algorithm>
 #include <array>
 #include <unordered_map>
 
@@ -28,8 +29,10 @@
     bool connected = false; ///< The TCP connection is established.
     std::shared_ptr<ByteAccount> account;
     std::size_t unfinishedBytes = 0; ///< Received since the last complete frame.
+    std::size_t expandedBytes = 0;   ///< What the compressed part of them has expanded to.
     SteadyTime unfinishedSince;
     std::function<void()> evicted;
+    int sessionCalls = 0; ///< Calls of the session that have not returned.
 
     Channel() = default;
     Channel(const Channel &) = delete;
@@ -37,14 +40,50 @@
     ~Channel() override { release(); }
 
     void evict() override { evicted(); }
+    /** Frees what a closed channel holds, once no call of its session is left. */
+    void freeIfClosed()
+    {
+        if (!closed || sessionCalls > 0)
+            return;
+        session.reset();
+        output = std::string();
+    }
+    void holdUnfinished(std::size_t bytes)
+    {
+        if (account != nullptr && !closed && bytes > 0)
+            account->hold(*this, {.bytes = bytes, .since = unfinishedSince},
+                          EpollLoop::instance().now());
+    }
     void release()
     {
         unfinishedBytes = 0;
+        expandedBytes = 0;
         if (account != nullptr)
             account->release(*this);
     }
 };
 
+/** Keeps the session of a channel alive during a call of it, whatever the call leads to. */
+class SessionCall
+{
+    std::shared_ptr<Channel> m_channel;
+
+public:
+    explicit SessionCall(std::shared_ptr<Channel> channel) : m_channel(std::move(channel))
+    {
+        ++m_channel->sessionCalls;
+    }
+    ~SessionCall()
+    {
+        --m_channel->sessionCalls;
+        m_channel->freeIfClosed();
+    }
+    SessionCall(const SessionCall &) = delete;
+    SessionCall &operator=(const SessionCall &) = delete;
+
+    WebsocketSession *operator->() const { return m_channel->session.get(); }
+};
+
 } // namespace
 
 struct WebsocketLinkTransport::State : std::enable_shared_from_this<State>
@@ -102,6 +141,12 @@
         events.closed = [this, weak] {
             scheduleClose(weak.lock());
         };
+        events.mayExpand = [weak](std::size_t bytes) {
+            const ChannelPointer source = weak.lock();
+            source->expandedBytes = bytes;
+            source->holdUnfinished(bytes);
+            return !source->closed;
+        };
         events.write = [this, weak](const char *data, std::size_t size) {
             write(weak.lock(), data, size);
         };
@@ -191,7 +236,7 @@
         }
         channel->connected = true;
         waitForSocket(channel);
-        channel->session->start();
+        SessionCall(channel)->start();
     }
 
     void readSome(const ChannelPointer &channel)
@@ -208,13 +253,9 @@
         if (channel->unfinishedBytes == 0)
             channel->unfinishedSince = EpollLoop::instance().now();
         channel->unfinishedBytes += received;
-        channel->session->processInput(buffer.data(), received);
+        SessionCall(channel)->processInput(buffer.data(), received);
         // A short frame is complete as soon as it is received, so few links are ever held.
-        if (channel->account != nullptr && !channel->closed && channel->unfinishedBytes > 0)
-            channel->account->hold(
-                    *channel,
-                    {.bytes = channel->unfinishedBytes, .since = channel->unfinishedSince},
-                    EpollLoop::instance().now());
+        channel->holdUnfinished(std::max(channel->unfinishedBytes, channel->expandedBytes));
     }
 
     void acceptConnection(int descriptor)
@@ -230,7 +271,7 @@
         channel->connected = true;
         channel->session = WebsocketSession::accept(sessionEvents(channel), options.maxFrameBytes);
         waitForSocket(channel);
-        channel->session->start();
+        SessionCall(channel)->start();
         EpollLoop::instance().startOnce(
                 options.handshakeTimeout, [weak = weak_from_this(), id = channel->id] {
                     const std::shared_ptr<State> state = weak.lock();
@@ -248,6 +289,7 @@
         channel->closed = true;
         channel->open = false;
         channel->release();
+        channel->freeIfClosed();
         channel->socket.stopWaiting();
         const std::weak_ptr<State> weak = weak_from_this();
         EpollLoop::instance().startOnce(std::chrono::milliseconds(0), [weak, id = channel->id] {
@@ -308,13 +350,13 @@
 bool WebsocketLinkTransport::send(LinkId link, const std::string &frame)
 {
     const State::ChannelPointer channel = m_state->findOpen(link);
-    return channel != nullptr && channel->session->send(frame) && !channel->closed;
+    return channel != nullptr && SessionCall(channel)->send(frame) && !channel->closed;
 }
 
 bool WebsocketLinkTransport::sendUncompressed(LinkId link, const std::string &frame)
 {
     const State::ChannelPointer channel = m_state->findOpen(link);
-    return channel != nullptr && channel->session->sendUncompressed(frame) && !channel->closed;
+    return channel != nullptr && SessionCall(channel)->sendUncompressed(frame) && !channel->closed;
 }
 
 std::size_t WebsocketLinkTransport::queuedBytes(LinkId link) const
@@ -325,7 +367,7 @@
 
 void WebsocketLinkTransport::setCompression(LinkId link, bool compressed)
 {
-    if (const State::ChannelPointer channel = m_state->find(link))
+    if (const State::ChannelPointer channel = m_state->findOpen(link))
         channel->session->setCompression(compressed);
 }
 
--- a/drivers/websocket/websocket_session.cpp
+++ b/drivers/websocket/websocket_session.cpp
@@ -20,6 +20,38 @@
 {
 };
 
+/**
+ * Counts what the compressed frames of one session expand to. The library creates its extensions
+ * itself, so they find the session that processes input through this scope.
+ */
+class ExpansionScope
+{
+    static inline ExpansionScope *s_current = nullptr;
+
+    std::size_t &m_bytes;
+    const std::function<bool(std::size_t)> &m_mayExpand;
+    ExpansionScope *m_outer = s_current;
+
+public:
+    ExpansionScope(std::size_t &bytes, const std::function<bool(std::size_t)> &mayExpand)
+        : m_bytes(bytes), m_mayExpand(mayExpand)
+    {
+        s_current = this;
+    }
+    ~ExpansionScope() { s_current = m_outer; }
+    ExpansionScope(const ExpansionScope &) = delete;
+    ExpansionScope &operator=(const ExpansionScope &) = delete;
+
+    /** Adds to the bytes of the current message. Returns false if there are too many. */
+    static bool add(std::size_t bytes)
+    {
+        if (s_current == nullptr)
+            return false;
+        s_current->m_bytes += bytes;
+        return s_current->m_mayExpand(s_current->m_bytes);
+    }
+};
+
 /**
  * Frames repeat names and headers of earlier ones, so both ends keep their compression windows
  * between messages. The library's default offer resets the window of the connecting end after each
@@ -27,7 +59,29 @@
  */
 class LinkDeflate : public websocketpp::extensions::permessage_deflate::enabled<DeflateConfig>
 {
+    using Base = websocketpp::extensions::permessage_deflate::enabled<DeflateConfig>;
+
+    /** Expands to a megabyte at most. */
+    static constexpr std::size_t SliceBytes = 1024;
+
 public:
+    /** Hides the library's function, which expands without a limit. */
+    lib::error_code decompress(const std::uint8_t *data, std::size_t size, std::string &output)
+    {
+        while (size > 0) {
+            const std::size_t slice = std::min(size, SliceBytes);
+            const std::size_t before = output.size();
+            if (const lib::error_code error = Base::decompress(data, slice, output))
+                return error;
+            if (!ExpansionScope::add(output.size() - before))
+                return websocketpp::processor::error::make_error_code(
+                        websocketpp::processor::error::message_too_big);
+            data += slice;
+            size -= slice;
+        }
+        return {};
+    }
+
     /** Hides the library's function. 12 bits are a window of 4 KB, about ten frames. */
     std::string generate_offer() const // NOLINT(readability-identifier-naming)
     {
@@ -109,10 +163,15 @@
     WebsocketEndpoint m_endpoint;
     typename WebsocketEndpoint::connection_ptr m_connection;
     Events m_events;
+    std::function<bool(std::size_t)> m_mayExpand;
+    std::size_t m_expandedBytes = 0; ///< Of the message that is being received.
     bool m_open = false;
     bool m_compressed = false;
 
-    SessionBase(Events events, std::size_t maxFrameBytes) : m_events(std::move(events))
+    SessionBase(Events events, std::size_t maxFrameBytes)
+        : m_events(std::move(events)), m_mayExpand([this, maxFrameBytes](std::size_t bytes) {
+            return bytes <= maxFrameBytes && m_events.mayExpand(bytes);
+        })
     {
         m_endpoint.clear_access_channels(websocketpp::log::alevel::all);
         m_endpoint.clear_error_channels(websocketpp::log::elevel::all);
@@ -124,6 +183,7 @@
         m_endpoint.set_message_handler(
                 [this](const websocketpp::connection_hdl &,
                        const typename WebsocketEndpoint::message_ptr &message) {
+                    m_expandedBytes = 0;
                     m_events.frame(message->get_payload());
                 });
         m_endpoint.set_close_handler(
@@ -161,6 +221,7 @@
 public:
     void processInput(const char *data, std::size_t size) override
     {
+        const ExpansionScope scope(m_expandedBytes, m_mayExpand);
         m_connection->read_all(data, size);
     }
 
--- a/drivers/websocket/websocket_session.h
+++ b/drivers/websocket/websocket_session.h
@@ -24,6 +24,8 @@
         std::function<void(const std::string &frame)> frame;
         std::function<void()> closed; ///< The session has ended or the handshake has failed.
         std::function<void(const char *data, std::size_t size)> write; ///< Bytes for the peer.
+        /** Returns whether the unfinished message may take this much memory after its expansion. */
+        std::function<bool(std::size_t expandedBytes)> mayExpand;
     };
 
     virtual ~WebsocketSession() = default;
@@ -41,7 +43,10 @@
     /** Notifies the session that the underlying connection has ended. */
     virtual void handleDisconnect() = 0;
 
-    /** Creates the accepting end. A frame larger than maxFrameBytes ends the session. */
+    /**
+     * Creates the accepting end. A frame larger than maxFrameBytes, also when it is
+     * expanded, ends the session.
+     */
     static std::unique_ptr<WebsocketSession> accept(Events events, std::size_t maxFrameBytes);
     /** Creates the connecting end; host is "IP:PORT". */
     static std::unique_ptr<WebsocketSession> connect(Events events, std::size_t maxFrameBytes,
