Links: bound the names, elements and pages of messages

A client that greets as a node ended a node with names of 1 MB in its greeting, its status or its progress of a rollout (all of which are stored for as long as the peer is known), and with a page of 60 KB that expands to 60 MB and is then copied.

Names that a node stores are at most 255 bytes, other texts 64 KB, arrays 100,000 elements, unpacked pages 16 MB; a frame beyond is malformed and closes its link, as other malformed frames do. As a node tells its peers the id and version of its backend server, heartbeats and deregistrations with longer ones are refused too: else one such call would have closed all links of the node. Early progress of rollouts is kept for 4,096 services.

The protocol's number is 8, as a node of the version before could send a longer name.

--- a/modules/fleet/message_codec.cpp
+++ b/modules/fleet/message_codec.cpp
@@ -15,7 +15,11 @@
 
 namespace {
 
-constexpr std::size_t MaxUnpackedPageBytes = 64 * 1024 * 1024;
+/** The store's records are at most 256 KB each; the rollouts of 2,800 services take less than 1 MB.
+ */
+constexpr std::size_t MaxUnpackedPageBytes = 16 * 1024 * 1024;
+constexpr std::size_t MaxTextBytes = 64 * 1024;
+constexpr std::uint64_t MaxElements = 100'000; ///< A mesh has 25,000 nodes at most.
 constexpr std::size_t TypicalFrameBytes = 512; // Besides bodies.
 
 template <typename Enum>
@@ -51,6 +55,15 @@
     explicit Bytes(String &value) : string(value) {}
 };
 
+/** A text that the receiver stores for long. */
+template <typename String>
+struct Name
+{
+    String &string;
+
+    explicit Name(String &value) : string(value) {}
+};
+
 /** Headers, encoded as one byte string of "name:value" lines: fewer items than one per header. */
 template <typename Headers>
 struct PackedHeaders
@@ -97,6 +110,11 @@
     writer.writeText(text);
 }
 
+void encode(CborWriter &writer, const Name<const std::string> &name)
+{
+    writer.writeText(name.string);
+}
+
 void encode(CborWriter &writer, const Endpoint &endpoint)
 {
     writer.writeText(endpoint.text());
@@ -163,9 +181,22 @@
     value = std::chrono::milliseconds(reader.takeInteger());
 }
 
+std::string_view takeText(CborReader &reader, std::size_t maxBytes)
+{
+    const std::string_view text = reader.takeText();
+    if (text.size() > maxBytes)
+        throw CborError("a text is too long");
+    return text;
+}
+
 void decode(CborReader &reader, std::string &text)
 {
-    text = reader.takeText();
+    text = takeText(reader, MaxTextBytes);
+}
+
+void decode(CborReader &reader, const Name<std::string> &name)
+{
+    name.string = takeText(reader, MaxNameBytes);
 }
 
 void decode(CborReader &reader, Endpoint &endpoint)
@@ -270,32 +301,34 @@
 
 void encode(CborWriter &writer, const NodeContact &contact)
 {
-    encodeFields(writer, contact.node, contact.domain, contact.linkEndpoint, contact.incarnation,
-                 contact.service, contact.relayCapacity);
+    encodeFields(writer, Name{contact.node}, Name{contact.domain}, contact.linkEndpoint,
+                 contact.incarnation, Name{contact.service}, contact.relayCapacity);
 }
 
 void decode(CborReader &reader, NodeContact &contact)
 {
-    decodeFields(reader, contact.node, contact.domain, contact.linkEndpoint, contact.incarnation,
-                 contact.service, contact.relayCapacity);
+    decodeFields(reader, Name{contact.node}, Name{contact.domain}, contact.linkEndpoint,
+                 contact.incarnation, Name{contact.service}, contact.relayCapacity);
 }
 
 void encode(CborWriter &writer, const BackendStatus &status)
 {
-    encodeFields(writer, status.availability, status.id, status.service, status.version,
-                 status.concurrencyLimit, status.running, status.queued, status.startsPerSecond,
-                 status.serviceTime, status.failuresPerThousand, status.braked,
-                 status.requestRateLimit, status.startedAt, status.leaving, status.responseBacklog,
-                 status.remainingWork, status.normalRunTime, status.pacePercent);
+    encodeFields(writer, status.availability, Name{status.id}, Name{status.service},
+                 Name{status.version}, status.concurrencyLimit, status.running, status.queued,
+                 status.startsPerSecond, status.serviceTime, status.failuresPerThousand,
+                 status.braked, status.requestRateLimit, status.startedAt, status.leaving,
+                 status.responseBacklog, status.remainingWork, status.normalRunTime,
+                 status.pacePercent);
 }
 
 void decode(CborReader &reader, BackendStatus &status)
 {
-    decodeFields(reader, status.availability, status.id, status.service, status.version,
-                 status.concurrencyLimit, status.running, status.queued, status.startsPerSecond,
-                 status.serviceTime, status.failuresPerThousand, status.braked,
-                 status.requestRateLimit, status.startedAt, status.leaving, status.responseBacklog,
-                 status.remainingWork, status.normalRunTime, status.pacePercent);
+    decodeFields(reader, status.availability, Name{status.id}, Name{status.service},
+                 Name{status.version}, status.concurrencyLimit, status.running, status.queued,
+                 status.startsPerSecond, status.serviceTime, status.failuresPerThousand,
+                 status.braked, status.requestRateLimit, status.startedAt, status.leaving,
+                 status.responseBacklog, status.remainingWork, status.normalRunTime,
+                 status.pacePercent);
 }
 
 void encode(CborWriter &writer, const KeyedRecord &record)
@@ -471,22 +504,22 @@
 
 void encode(CborWriter &writer, const CrashSuspectMessage &message)
 {
-    encodeFields(writer, message.fingerprint, message.backend);
+    encodeFields(writer, message.fingerprint, Name{message.backend});
 }
 
 void decode(CborReader &reader, CrashSuspectMessage &message)
 {
-    decodeFields(reader, message.fingerprint, message.backend);
+    decodeFields(reader, message.fingerprint, Name{message.backend});
 }
 
 void encode(CborWriter &writer, const BackendLeftMessage &message)
 {
-    encodeFields(writer, message.backend.id, message.backend.startedAt);
+    encodeFields(writer, Name{message.backend.id}, message.backend.startedAt);
 }
 
 void decode(CborReader &reader, BackendLeftMessage &message)
 {
-    decodeFields(reader, message.backend.id, message.backend.startedAt);
+    decodeFields(reader, Name{message.backend.id}, message.backend.startedAt);
 }
 
 void encode(CborWriter &writer, const KnownCrashesMessage &message)
@@ -501,14 +534,14 @@
 
 void encode(CborWriter &writer, const RolloutProgressMessage &message)
 {
-    encodeFields(writer, message.service, message.targetVersion, message.step, message.outcome,
-                 message.domainDone);
+    encodeFields(writer, Name{message.service}, Name{message.targetVersion}, message.step,
+                 message.outcome, message.domainDone);
 }
 
 void decode(CborReader &reader, RolloutProgressMessage &message)
 {
-    decodeFields(reader, message.service, message.targetVersion, message.step, message.outcome,
-                 message.domainDone);
+    decodeFields(reader, Name{message.service}, Name{message.targetVersion}, message.step,
+                 message.outcome, message.domainDone);
 }
 
 void encode(CborWriter &writer, const ProbeMessage &message)
@@ -552,8 +585,11 @@
 template <typename Element>
 void decode(CborReader &reader, std::vector<Element> &elements)
 {
+    std::uint64_t count = reader.beginArray();
+    if (count > MaxElements)
+        throw CborError("an array has too many elements");
     // No memory is reserved for a count that a peer claims; the elements have to be there.
-    for (std::uint64_t count = reader.beginArray(); count > 0; --count)
+    for (; count > 0; --count)
         decode(reader, elements.emplace_back());
 }
 
--- a/modules/fleet/messages.h
+++ b/modules/fleet/messages.h
@@ -17,6 +17,9 @@
 
 namespace jacinthshift {
 
+/** Bound of the names of nodes, failure domains, services, versions and backend servers. */
+constexpr std::size_t MaxNameBytes = 255;
+
 /** Identity and address of a node's process. */
 struct NodeContact
 {
@@ -42,7 +45,7 @@
 struct GreetingMessage
 {
     /** Version of the protocol; a link between different versions is closed. */
-    static constexpr std::uint32_t Protocol = 7;
+    static constexpr std::uint32_t Protocol = 8;
 
     std::uint32_t protocol = Protocol;
     NodeContact self;
--- a/modules/fleet/tests/test_fleet_codec.cpp
+++ b/modules/fleet/tests/test_fleet_codec.cpp
@@ -225,6 +225,45 @@
 }
 
 // Guards against costs that get lost between the owner and the senders.
+// Guards against a peer whose names use up the memory: they are stored as long as it is known.
+TEST_CASE("names that are too long are rejected")
+{
+    const auto isDecoded = [](std::size_t bytes) {
+        const std::string name(bytes, 'n');
+        const std::vector<FleetMessage> messages = {
+                GreetingMessage{.self = {.node = name, .linkEndpoint = {"127.0.0.1", 1}}},
+                GreetingMessage{
+                        .self = {.node = "n", .linkEndpoint = {"127.0.0.1", 1}, .service = name}},
+                StatusMessage{.backend = {.id = name}},
+                RolloutProgressMessage{.service = name},
+                BackendLeftMessage{.backend = {.id = name}},
+                CrashSuspectMessage{.backend = name}};
+        std::size_t decoded = 0;
+        for (const FleetMessage &message : messages)
+            decoded += decodeFleetMessage(encodeFleetMessage(message)).ok() ? 1 : 0;
+        CHECK((decoded == 0 || decoded == messages.size()));
+        return decoded == messages.size();
+    };
+    CHECK(isDecoded(MaxNameBytes));
+    CHECK_FALSE(isDecoded(MaxNameBytes + 1));
+}
+
+// Guards against frames that take a multiple of their size once they are decoded.
+TEST_CASE("arrays with too many elements and pages that expand too far are rejected")
+{
+    const auto isDecoded = [](std::size_t count) {
+        const ContactsFetchMessage fetch{.known = std::vector<std::uint64_t>(count, 1)};
+        return decodeFleetMessage(encodeFleetMessage(fetch)).ok();
+    };
+    CHECK(isDecoded(100'000));
+    CHECK_FALSE(isDecoded(100'001));
+    KeyedPage page;
+    page.records.push_back(KeyedRecord{.key = "k", .value = std::string(8'000'000, 'v')});
+    CHECK(unpackPage(packPage(page)).ok());
+    page.records.push_back(KeyedRecord{.key = "l", .value = std::string(16'000'000, 'v')});
+    CHECK_FALSE(unpackPage(packPage(page)).ok());
+}
+
 TEST_CASE("the codec preserves the costs in a status and in a result")
 {
     const StatusMessage status{.backend = {.remainingWork = std::chrono::milliseconds(3'000),
--- a/modules/rollout/rollout_controller.cpp
+++ b/modules/rollout/rollout_controller.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr std::size_t MaxEarlyProgress = 4'096; ///< More than there are services.
+
 // The new version's share of the requests in each step after the canary step, from 0 to 1. The
 // shares increase gradually so that a fault under load shows at one of the steps.
 constexpr std::array<double, 4> RampShares = {0.2, 0.4, 0.7, 1.0};
@@ -133,7 +135,9 @@
     const auto found = m_rollouts.find(progress->service);
     if (found != m_rollouts.end() && found->second->order.targetVersion == progress->targetVersion)
         applyPeerProgress(*found->second, *progress, node);
-    else if (found == m_rollouts.end())
+    else if (found == m_rollouts.end()
+             && (m_earlyProgress.size() < MaxEarlyProgress
+                 || m_earlyProgress.contains(progress->service)))
         m_earlyProgress[progress->service] = *progress;
 }
 
