Fleet: bound the table of peers

A client of the link address that sends contacts of nodes that do not exist ended a node (146 MB): each contact is a peer for ten minutes, also without ever having had a link, and one link could greet under any number of names.

The table has maxPeers entries at most: 32,768, on a small VM one for 8 KB of its memory. A further contact is ignored. A peer that greets has shown that it is there, so it replaces the peer that has been without a link for the longest time; a full table thus keeps no node out. A second greeting under another name closes the link.

A unit test fills the table and lets a node greet.

--- a/modules/fleet/fleet_network.cpp
+++ b/modules/fleet/fleet_network.cpp
@@ -155,6 +155,8 @@
     if (contact.node.empty() || contact.node == m_options.self.node
         || contact.linkEndpoint == m_options.self.linkEndpoint)
         return false;
+    if (m_peers.size() >= m_options.maxPeers && !m_peers.contains(contact.node))
+        return false;
     const auto [entry, isNew] = m_peers.try_emplace(contact.node);
     FleetPeer &peer = entry->second;
     if (!isNew && contact.incarnation <= peer.contact.incarnation)
@@ -502,11 +504,37 @@
     peer.status = StatusMessage();
 }
 
+bool FleetNetwork::isAcceptable(LinkId link, const GreetingMessage &greeting) const
+{
+    const std::string &node = greeting.self.node;
+    const auto known = m_links.find(link);
+    const bool isOfOtherNode =
+            known != m_links.end() && !known->second.node.empty() && known->second.node != node;
+    return greeting.protocol == GreetingMessage::Protocol && !node.empty()
+           && node != m_options.self.node && !isOfOtherNode;
+}
+
+bool FleetNetwork::makeRoomForPeer(const std::string &node)
+{
+    if (m_peers.size() < m_options.maxPeers || m_peers.contains(node))
+        return true;
+    auto oldest = m_peers.end();
+    for (auto entry = m_peers.begin(); entry != m_peers.end(); ++entry) {
+        const FleetPeer &peer = entry->second;
+        if (peer.links.empty() && peer.dialing == LinkId::None
+            && (oldest == m_peers.end() || peer.lastLinkedAt < oldest->second.lastLinkedAt))
+            oldest = entry;
+    }
+    if (oldest == m_peers.end())
+        return false;
+    m_peers.erase(oldest);
+    return true;
+}
+
 void FleetNetwork::handleGreeting(LinkId link, const GreetingMessage &greeting)
 {
     const NodeContact &contact = greeting.self;
-    if (greeting.protocol != GreetingMessage::Protocol || contact.node.empty()
-        || contact.node == m_options.self.node) {
+    if (!isAcceptable(link, greeting) || !makeRoomForPeer(contact.node)) {
         m_transport.close(link);
         return;
     }
--- a/modules/fleet/fleet_network.h
+++ b/modules/fleet/fleet_network.h
@@ -53,6 +53,8 @@
     std::uint32_t maxFetchesWithoutNews = 2;
     /** Peers that could not be reached for longer are removed. */
     std::chrono::milliseconds unreachableRetention{600'000};
+    /** Beyond it, a contact is ignored, and a peer that greets replaces one without a link. */
+    std::size_t maxPeers = 32'768;
     LinkPlanOptions linkPlan;
     /** How often the link plan is updated, besides when a node becomes known. */
     std::chrono::milliseconds linkPlanPeriod{1'000};
@@ -150,6 +152,13 @@
     /** Closes the links to a peer's process, which has been replaced, and drops its status. */
     void endProcess(FleetPeer &peer);
     void handleGreeting(LinkId link, const GreetingMessage &greeting);
+    /** Returns whether a greeting is of this protocol and of the node that the link belongs to. */
+    bool isAcceptable(LinkId link, const GreetingMessage &greeting) const;
+    /**
+     * Returns whether there is room for a peer with this name. If not, removes the peer that has
+     * been without a link for the longest time.
+     */
+    bool makeRoomForPeer(const std::string &node);
     void updateStatus(FleetPeer &peer, const StatusMessage &status);
     std::chrono::milliseconds silenceTimeout() const;
     std::chrono::milliseconds uptime() const;
--- a/modules/fleet/tests/test_fleet_network.cpp
+++ b/modules/fleet/tests/test_fleet_network.cpp
@@ -181,6 +181,36 @@
     REQUIRE(joining.network.contacts().size() == 10);
 }
 
+// Guards against a table of peers that grows with what others claim, and that then keeps nodes out.
+TEST_CASE("the number of known peers is bounded, and a peer that greets takes the place of another",
+          "[fleet]")
+{
+    ManualTimerService timers;
+    FakeLinkHub hub{timers};
+    FakeLinkTransport transport(hub, Endpoint{"127.0.0.1", 1});
+    FleetNetwork network(FleetNetworkOptions{.self = {.node = "self",
+                                                      .domain = "a",
+                                                      .linkEndpoint = {"127.0.0.1", 1},
+                                                      .incarnation = 1},
+                                             .maxPeers = 10},
+                         transport, timers);
+    REQUIRE(network.start().ok());
+    std::vector<NodeContact> claimed;
+    for (std::uint16_t port = 100; port < 200; ++port)
+        claimed.push_back({.node = joinText("claimed-", port),
+                           .domain = "a",
+                           .linkEndpoint = {"127.0.0.1", port},
+                           .incarnation = 1});
+    network.addContacts(claimed);
+    CHECK(network.peers().size() == 10);
+    FleetNode greeting(hub, "a", 2);
+    greeting.network.addContacts({network.self()});
+    timers.advance(milliseconds(2'000));
+    CHECK(network.peers().size() == 10);
+    REQUIRE(network.peer("a-2") != nullptr);
+    CHECK(network.peer("a-2")->links.size() == 1);
+}
+
 TEST_CASE("A node without peers in its failure domain discovers all others through another domain",
           "[fleet]")
 {
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -113,6 +113,13 @@
     return std::min(limit, memory / parts);
 }
 
+/** Returns how many other nodes the process may know; each takes a few kilobytes at most. */
+std::size_t maxPeers()
+{
+    constexpr std::size_t BytesPerPeer = 8 * 1024;
+    return memoryShare(BytesPerPeer, FleetNetworkOptions().maxPeers);
+}
+
 /** Returns how many bytes of responses may wait for earlier ones on callers' connections. */
 std::size_t maxBufferedResponseBytes()
 {
@@ -376,7 +383,8 @@
                                            .incarnation = incarnation,
                                            .service = settings.service,
                                            .relayCapacity = computeRelayCapacity(settings)},
-                                  .randomSeed = randomSeed},
+                                  .randomSeed = randomSeed,
+                                  .maxPeers = maxPeers()},
               transport, timers)
     , poison(PoisonRegistryOptions{})
     , crashes(CrashExchangeOptions{}, network, timers, poison)
