Links: count the output that a peer does not read

A client that asks for contacts again and again and reads no reply ended a node (139 MB): a link may queue 32 MB, and no link counted for the process.

Output of 64 KB or more is held in the process's account, by which the link that is furthest behind is closed when the limit is reached, and waits in blocks that are never copied.

A drained link costs no more than before: an account entry only above 64 KB.

--- a/drivers/websocket/websocket_link_transport.cpp
+++ b/drivers/websocket/websocket_link_transport.cpp
@@ -6,6 +6,7 @@
 
 #include "drivers/tcp/tcp_listener.h"
 #include "drivers/tcp/tcp_socket.h"
+#include "drivers/websocket/output_queue.h"
 #include "drivers/websocket/websocket_session.h"
 
 namespace jacinthshift {
@@ -13,6 +14,8 @@
 namespace {
 
 constexpr std::size_t ReadBufferBytes = 64 * 1024;
+/** Less output is not counted: each link has some at times. */
+constexpr std::size_t MinCountedOutputBytes = 64 * 1024;
 
 /** One connection: a TCP socket and the WebSocket session that runs over it. */
 struct Channel final : ByteHolder
@@ -23,7 +26,7 @@
     bool closed = false; ///< The channel is out of use and is about to be removed.
     TcpSocket socket;
     std::unique_ptr<WebsocketSession> session;
-    std::string output; ///< Bytes to be written to the socket.
+    OutputQueue output; ///< Bytes to be written to the socket.
     bool waitingToWrite = false;
     bool flushScheduled = false;
     bool connected = false; ///< The TCP connection is established.
@@ -31,6 +34,8 @@
     std::size_t unfinishedBytes = 0; ///< Received since the last complete frame.
     std::size_t expandedBytes = 0;   ///< What the compressed part of them has expanded to.
     SteadyTime unfinishedSince;
+    std::size_t flushedBytes = 0; ///< Since the output was last empty.
+    SteadyTime outputSince;
     std::function<void()> evicted;
     int sessionCalls = 0; ///< Calls of the session that have not returned.
 
@@ -46,18 +51,37 @@
         if (!closed || sessionCalls > 0)
             return;
         session.reset();
-        output = std::string();
+        output.clear();
     }
-    void holdUnfinished(std::size_t bytes)
+    /** Counts the unfinished frame and the output that the peer does not take. */
+    void updateAccount()
     {
-        if (account != nullptr && !closed && bytes > 0)
-            account->hold(*this, {.bytes = bytes, .since = unfinishedSince},
-                          EpollLoop::instance().now());
+        if (account == nullptr || closed)
+            return;
+        const bool hasOutput = output.size() >= MinCountedOutputBytes;
+        const std::size_t unfinished = std::max(unfinishedBytes, expandedBytes);
+        if (unfinished == 0 && !hasOutput) {
+            account->release(*this);
+            return;
+        }
+        const SteadyTime now = EpollLoop::instance().now();
+        if (!hasOutput)
+            account->hold(*this, {.bytes = unfinished, .since = unfinishedSince}, now);
+        else
+            account->hold(*this,
+                          {.bytes = unfinished + output.size(),
+                           .progress = flushedBytes,
+                           .since = outputSince},
+                          now);
     }
-    void release()
+    void frameReceived()
     {
         unfinishedBytes = 0;
         expandedBytes = 0;
+        updateAccount();
+    }
+    void release()
+    {
         if (account != nullptr)
             account->release(*this);
     }
@@ -129,12 +153,12 @@
         events.opened = [this, weak] {
             const ChannelPointer opened = weak.lock();
             opened->open = true;
-            opened->release();
+            opened->frameReceived();
             observer->linkOpened(opened->id, opened->outgoing);
         };
         events.frame = [this, weak](const std::string &frame) {
             const ChannelPointer source = weak.lock();
-            source->release();
+            source->frameReceived();
             if (!source->closed)
                 observer->frameReceived(source->id, frame);
         };
@@ -144,7 +168,7 @@
         events.mayExpand = [weak](std::size_t bytes) {
             const ChannelPointer source = weak.lock();
             source->expandedBytes = bytes;
-            source->holdUnfinished(bytes);
+            source->updateAccount();
             return !source->closed;
         };
         events.write = [this, weak](const char *data, std::size_t size) {
@@ -157,11 +181,17 @@
     {
         if (channel->closed)
             return;
+        if (channel->output.empty()) {
+            channel->flushedBytes = 0;
+            channel->outputSince = EpollLoop::instance().now();
+        }
         channel->output.append(data, size);
         if (channel->output.size() > options.maxQueuedBytes) {
             scheduleClose(channel);
             return;
         }
+        if (channel->output.size() >= MinCountedOutputBytes)
+            channel->updateAccount();
         if (channel->connected && !channel->waitingToWrite && !channel->flushScheduled)
             scheduleFlush(channel);
     }
@@ -183,20 +213,24 @@
     void flush(const ChannelPointer &channel)
     {
         channel->waitingToWrite = false;
-        std::size_t written = 0;
-        while (written < channel->output.size()) {
-            const SocketResult outcome = channel->socket.write(
-                    channel->output.data() + written, channel->output.size() - written, written);
-            if (outcome == SocketResult::Progress)
-                continue;
-            if (outcome != SocketResult::WouldBlock) {
+        const bool wasCounted = channel->output.size() >= MinCountedOutputBytes;
+        while (!channel->output.empty()) {
+            const std::string_view block = channel->output.front();
+            std::size_t written = 0;
+            const SocketResult outcome = channel->socket.write(block.data(), block.size(), written);
+            if (outcome == SocketResult::WouldBlock) {
+                channel->waitingToWrite = true;
+                break;
+            }
+            if (outcome != SocketResult::Progress) {
                 scheduleClose(channel);
                 return;
             }
-            channel->waitingToWrite = true;
-            break;
+            channel->output.remove(written);
+            channel->flushedBytes += written;
         }
-        channel->output.erase(0, written);
+        if (wasCounted)
+            channel->updateAccount();
         if (channel->waitingToWrite)
             waitForSocket(channel);
     }
@@ -255,7 +289,7 @@
         channel->unfinishedBytes += received;
         SessionCall(channel)->processInput(buffer.data(), received);
         // A short frame is complete as soon as it is received, so few links are ever held.
-        channel->holdUnfinished(std::max(channel->unfinishedBytes, channel->expandedBytes));
+        channel->updateAccount();
     }
 
     void acceptConnection(int descriptor)
--- a/servers/link_transport.h
+++ b/servers/link_transport.h
@@ -40,7 +40,7 @@
     std::size_t maxLinks = 1024; ///< New incoming connections above this number are closed.
     /** Time limit for the handshake of an incoming connection. */
     std::chrono::milliseconds handshakeTimeout{10'000};
-    std::shared_ptr<ByteAccount> account; ///< Counts unfinished frames; null for none.
+    std::shared_ptr<ByteAccount> account; ///< Counts unfinished frames and unread output.
 };
 
 /** Transports frames between nodes over connections, in order on each link. */
