Byte account: leases, and holders that stopped count as behind

What runs cannot be evicted, so it was in no account. A lease takes room before bytes are read and gives it back when the last user is gone. Without room, holders that are further behind than the requester are evicted first; the requester tries again once they are gone, so that evicted and new bytes do not overlap.

Unit tests for each; the earlier ones are unchanged.

--- a/core/tests/test_byte_account.cpp
+++ b/core/tests/test_byte_account.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <memory>
+
 #include "core/byte_account.h"
 
 namespace jacinthshift {
@@ -72,4 +74,81 @@
     CHECK(account.evictions() == 0);
 }
 
+namespace {
+
+struct LeasedHolder final : ByteHolder
+{
+    ByteLease lease;
+    bool evicted = false;
+
+    void evict() override { evicted = true; }
+};
+
+} // namespace
+
+// Guards against memory that is used before there is room for it.
+TEST_CASE("a lease waits until the holders that were evicted for it are gone")
+{
+    const auto account =
+            std::make_shared<ByteAccount>(ByteAccountOptions{.limit = 100, .reservedShare = 0.0});
+    LeasedHolder slow;
+    REQUIRE(account->extend(slow.lease, 80, {.since = start}, start) == LeaseResult::Granted);
+    account->hold(slow, {.leasedBytes = 80, .since = start}, start);
+    ByteLease lease;
+    const auto later = start + seconds(2);
+    CHECK(account->extend(lease, 50, {.since = later}, later) == LeaseResult::Evicting);
+    CHECK(slow.evicted);
+    CHECK(account->extend(lease, 50, {.since = later}, later) == LeaseResult::Evicting);
+    slow.lease.reset();
+    account->release(slow);
+    CHECK(account->extend(lease, 50, {.since = later}, later) == LeaseResult::Granted);
+    CHECK(account->bytes() == 50);
+    CHECK(account->evictions() == 1);
+    lease.reset();
+    CHECK(account->bytes() == 0);
+}
+
+TEST_CASE("a lease evicts no holder that is ahead of the requester")
+{
+    const auto account = std::make_shared<ByteAccount>(
+            ByteAccountOptions{.limit = 100, .expectedBytesPerSecond = 10.0});
+    LeasedHolder holder;
+    REQUIRE(account->extend(holder.lease, 80, {.since = start}, start) == LeaseResult::Granted);
+    account->hold(holder, {.leasedBytes = 80, .progress = 30, .since = start}, start + seconds(2));
+    ByteLease lease;
+    const auto later = start + seconds(2);
+    CHECK(account->extend(lease, 50, {.since = later}, later) == LeaseResult::Refused);
+    CHECK_FALSE(holder.evicted);
+    CHECK(account->refusals() == 1);
+    account->release(holder);
+}
+
+// The kernel takes megabytes at once for a peer that then reads nothing.
+TEST_CASE("a holder that has stopped is behind, however much its peer has taken before")
+{
+    const auto account = std::make_shared<ByteAccount>(ByteAccountOptions{.limit = 100});
+    LeasedHolder stalled;
+    account->hold(stalled, {.bytes = 90, .progress = 5'000'000, .since = start}, start);
+    ByteLease lease;
+    const auto soon = start + std::chrono::milliseconds(100);
+    CHECK(account->extend(lease, 50, {.since = soon}, soon) == LeaseResult::Refused);
+    const auto later = start + seconds(1);
+    CHECK(account->extend(lease, 50, {.since = later}, later) != LeaseResult::Refused);
+    CHECK(stalled.evicted);
+    account->release(stalled);
+}
+
+TEST_CASE("large leases leave a part of the room to small ones")
+{
+    const auto account = std::make_shared<ByteAccount>(
+            ByteAccountOptions{.limit = 1'000, .smallLeaseBytes = 100, .reservedShare = 0.2});
+    CHECK(account->canGrant(800));
+    CHECK_FALSE(account->canGrant(801));
+    ByteLease large;
+    ByteLease small;
+    CHECK(account->extend(large, 801, {.since = start}, start) == LeaseResult::Refused);
+    CHECK(account->extend(large, 800, {.since = start}, start) == LeaseResult::Granted);
+    CHECK(account->extend(small, 100, {.since = start}, start) == LeaseResult::Granted);
+}
+
 } // namespace jacinthshift
