--- a/cli/operator_session.cpp
+++ b/cli/operator_session.cpp
@@ -106,7 +106,7 @@
         return absl::UnavailableError(
                 joinText("the node at ", m_state->options.node.text(), " does not answer"));
     if (result->response.status == StatusNotFound)
-        return absl::NotFoundError(result->response.body);
+        return absl::NotFoundError(result->response.body.string());
     if (result->response.status != StatusOk)
         return absl::InternalError(
                 joinText("the node answered with status ", result->response.status));
--- a/core/text.cpp
+++ b/core/text.cpp
@@ -19,4 +19,14 @@
                       [](char a, char b) { return lowerCase(a) == lowerCase(b); });
 }
 
+void reserveExactly(std::string &text, std::size_t capacity)
+{
+    if (text.capacity() >= capacity)
+        return;
+    std::string larger;
+    larger.reserve(capacity);
+    larger.append(text);
+    text.swap(larger);
+}
+
 } // namespace jacinthshift
--- a/core/text.h
+++ b/core/text.h
@@ -44,6 +44,9 @@
 /** Compares two ASCII strings case-insensitively. */
 bool equalsIgnoreCase(std::string_view left, std::string_view right);
 
+/** Gives a string this capacity and not more; std::string::reserve() at least doubles it. */
+void reserveExactly(std::string &text, std::size_t capacity);
+
 } // namespace jacinthshift
 
 #endif // CORE_TEXT_H
--- a/drivers/beast/beast_http_client.cpp
+++ b/drivers/beast/beast_http_client.cpp
@@ -10,7 +10,7 @@
 #include <boost/beast/http.hpp>
 
 #include "core/text.h"
-#include "drivers/beast/http_wire.h"
+#include "drivers/beast/message_output.h"
 #include "drivers/tcp/tcp_socket.h"
 
 namespace jacinthshift {
@@ -23,6 +23,12 @@
 /** After this idle time a connection is checked for pending input before it is reused. */
 constexpr std::chrono::milliseconds MaxUncheckedIdleTime{100};
 constexpr std::uint32_t MaxHeaderBytes = 32 * 1024;
+/** Evicted holders are gone by then. */
+constexpr std::chrono::milliseconds RoomRetryDelay{1};
+/** How often exchanges that wait for room try to get it. */
+constexpr std::chrono::milliseconds RoomCheckPeriod{20};
+/** An exchange with a shorter response is not worth evicting. */
+constexpr std::size_t MinCountedBytes = 64 * 1024;
 /** Bytes that the parser leaves in the input until the head of a chunk or a trailer is complete. */
 constexpr std::size_t MaxUnparsedBytes = MaxHeaderBytes;
 /** Responses dropped in one exchange: 1xx ones, and late ones to earlier requests. */
@@ -64,10 +70,11 @@
 } // namespace
 
 /** One connection to a server; it carries one exchange at a time. */
-class BeastHttpClient::Connection
+class BeastHttpClient::Connection final : public ByteHolder
 {
 public:
     using Parser = http::response_parser<http::string_body>;
+    enum class ParseResult { NeedsInput, NeedsRoom, Complete, Malformed };
 
     State &state;
     Endpoint server;
@@ -79,11 +86,14 @@
     // The current exchange.
     HttpCallId callId = HttpCallId::None;
     Callback callback;
-    std::string output;
-    std::size_t written = 0;
+    MessageOutput output;
     std::unique_ptr<Parser> parser;
     std::string input;
-    std::size_t received = 0; ///< All bytes of the exchange, dropped responses included.
+    std::shared_ptr<ByteLease> lease; ///< For the response.
+    std::size_t bodyCapacity = 0;     ///< Of the response, as far as there is room for it.
+    SteadyTime receivingSince;
+    bool waitsForRoom = false; ///< It is not read on.
+    std::size_t received = 0;  ///< All bytes of the exchange, dropped responses included.
     std::uint32_t droppedResponses = 0;
     bool headRequest = false;
     bool closeAfterResponse = false;
@@ -97,6 +107,9 @@
         : state(clientState), server(std::move(endpoint))
     {
     }
+    ~Connection() override { releaseAccount(); }
+    Connection(const Connection &) = delete;
+    Connection &operator=(const Connection &) = delete;
 
     void resetParser();
     void continueConnect();
@@ -105,8 +118,18 @@
     void continueRead();
     /** Adds bytes to the input. Returns false if the exchange has received too many. */
     bool addInput(const char *data, std::size_t size);
-    /** Parses the input up to the end of the response. Returns false if it is malformed. */
-    bool parseInput();
+    /** Parses the input up to the end of the response, as far as there is room. */
+    ParseResult parseInput();
+    /** Parses the input and continues with what follows from the result. */
+    void processInput();
+    /** Takes room for the body, before it is parsed. */
+    LeaseResult makeRoom();
+    /** Returns the capacity that the body needs for its announced length or for the input. */
+    std::size_t neededBodyCapacity() const;
+    bool hasAnnouncedLength() const;
+    void updateAccount();
+    void releaseAccount();
+    void evict() override;
     /** Returns false for a status that is none or was not asked for, and for an unclear length. */
     bool hasValidHead() const;
     /** Returns false for a 1xx response and for one with another correlation value. */
@@ -116,7 +139,7 @@
     void fail(HttpFailure reason);
 };
 
-struct BeastHttpClient::State
+struct BeastHttpClient::State : std::enable_shared_from_this<State>
 {
     using ConnectionPointer = std::shared_ptr<Connection>;
 
@@ -124,7 +147,9 @@
     std::unordered_map<HttpCallId, ConnectionPointer> active;
     std::map<Endpoint, std::vector<ConnectionPointer>> idle;
     std::uint64_t lastId = 0;
-    std::size_t receivedBytes = 0; ///< Of all exchanges in progress.
+    std::size_t receivedBytes = 0;   ///< Of all exchanges in progress.
+    std::vector<HttpCallId> waiting; ///< Exchanges that wait for room.
+    Timer roomTimer;                 ///< Active while there are any.
 
     /**
      * Removes and returns the most recently used idle connection that has no pending input; null if
@@ -134,6 +159,14 @@
     void removeIdle(const Connection *connection);
     /** Ends the exchange that has received most if all together have received too much. */
     void endLongestIfExceeded();
+    /**
+     * Ends the longest response of unknown length that is longer than this one: it may be one
+     * without end. Returns false if there is none.
+     */
+    bool endLongerUnknown(const Connection &connection);
+    /** Lets an exchange try again to get room, at once or with the next check. */
+    void waitForRoom(Connection &connection, LeaseResult result);
+    void checkWaiting();
     /** Ends the exchange, keeps or closes its connection and runs the callback. */
     void finish(const ConnectionPointer &connection, HttpResult result, bool reusable);
     ConnectionPointer find(HttpCallId id)
@@ -191,11 +224,56 @@
     connection->fail(HttpFailure::Malformed);
 }
 
+bool BeastHttpClient::State::endLongerUnknown(const Connection &connection)
+{
+    ConnectionPointer longest;
+    for (const auto &[id, other] : active) {
+        if (other->received > connection.received && other->bodyCapacity > 0
+            && !other->hasAnnouncedLength()
+            && (longest == nullptr || other->received > longest->received))
+            longest = other;
+    }
+    if (longest == nullptr)
+        return false;
+    longest->fail(HttpFailure::Malformed);
+    return true;
+}
+
+void BeastHttpClient::State::waitForRoom(Connection &connection, LeaseResult result)
+{
+    connection.socket.stopWaiting();
+    connection.waitsForRoom = true;
+    waiting.push_back(connection.callId);
+    EpollLoop &loop = EpollLoop::instance();
+    if (result == LeaseResult::Evicting)
+        roomTimer = Timer(loop, loop.startOnce(RoomRetryDelay, [this] { checkWaiting(); }));
+    else if (!roomTimer.isActive())
+        roomTimer = Timer(loop, loop.startOnce(RoomCheckPeriod, [this] { checkWaiting(); }));
+}
+
+void BeastHttpClient::State::checkWaiting()
+{
+    roomTimer.stop();
+    std::vector<std::pair<std::size_t, HttpCallId>> smallestFirst;
+    for (const HttpCallId id : std::exchange(waiting, {})) {
+        if (const ConnectionPointer connection = find(id))
+            smallestFirst.emplace_back(connection->neededBodyCapacity(), id);
+    }
+    std::sort(smallestFirst.begin(), smallestFirst.end());
+    for (const auto &[bytes, id] : smallestFirst) {
+        if (const ConnectionPointer connection = find(id))
+            connection->processInput();
+    }
+}
+
 void BeastHttpClient::State::finish(const ConnectionPointer &connection, HttpResult result,
                                     bool reusable)
 {
     active.erase(connection->callId);
     receivedBytes -= std::exchange(connection->received, 0);
+    connection->releaseAccount();
+    connection->lease.reset();
+    connection->output.clear();
     connection->callId = HttpCallId::None;
     connection->timeout.stop();
     connection->connectTimeout.stop();
@@ -221,7 +299,9 @@
     parser = std::make_unique<Parser>();
     parser->body_limit(state.options.maxBodyBytes);
     parser->header_limit(MaxHeaderBytes);
-    parser->eager(true);
+    // The parser allocates the announced length of a body as soon as it goes on behind the head.
+    parser->eager(false);
+    bodyCapacity = 0;
     parser->skip(headRequest);
 }
 
@@ -238,8 +318,7 @@
 
 void BeastHttpClient::Connection::beginWrite()
 {
-    const SocketResult outcome = socket.write(output.data(), output.size(), written);
-    if (outcome == SocketResult::Progress && written == output.size()) {
+    if (output.writeTo(socket) == SocketResult::Progress) {
         socket.waitReadable([this] { continueRead(); });
         return;
     }
@@ -250,17 +329,14 @@
 
 void BeastHttpClient::Connection::continueWrite()
 {
-    while (written < output.size()) {
-        const SocketResult outcome =
-                socket.write(output.data() + written, output.size() - written, written);
-        if (outcome == SocketResult::WouldBlock) {
-            socket.waitWritable([this] { continueWrite(); });
-            return;
-        }
-        if (outcome != SocketResult::Progress) {
-            fail(HttpFailure::ConnectionLost);
-            return;
-        }
+    const SocketResult outcome = output.writeTo(socket);
+    if (outcome == SocketResult::WouldBlock) {
+        socket.waitWritable([this] { continueWrite(); });
+        return;
+    }
+    if (outcome != SocketResult::Progress) {
+        fail(HttpFailure::ConnectionLost);
+        return;
     }
     socket.waitReadable([this] { continueRead(); });
 }
@@ -276,14 +352,10 @@
     if (outcome == SocketResult::WouldBlock)
         return;
     if (outcome == SocketResult::Progress) {
-        if (!addInput(buffer.data(), bytes) || !parseInput()) {
-            fail(HttpFailure::Malformed);
-            return;
-        }
-        if (!parser->is_done())
-            state.endLongestIfExceeded();
+        if (addInput(buffer.data(), bytes))
+            processInput();
         else
-            acceptResponse();
+            fail(HttpFailure::Malformed);
         return;
     }
     boost::beast::error_code error;
@@ -304,26 +376,126 @@
     return received <= 2 * (state.options.maxBodyBytes + MaxHeaderBytes);
 }
 
-bool BeastHttpClient::Connection::parseInput()
+void BeastHttpClient::Connection::processInput()
 {
-    while (!input.empty() && !parser->is_done()) {
+    // A complete response ends the exchange, which may release the last other reference to this
+    // connection.
+    const std::shared_ptr<Connection> self = state.find(callId);
+    switch (parseInput()) {
+    case ParseResult::Malformed:
+        fail(HttpFailure::Malformed);
+        return;
+    case ParseResult::Complete:
+        acceptResponse();
+        return;
+    case ParseResult::NeedsRoom:
+        return;
+    case ParseResult::NeedsInput:
+        break;
+    }
+    updateAccount();
+    if (std::exchange(waitsForRoom, false))
+        socket.waitReadable([this] { continueRead(); });
+    state.endLongestIfExceeded();
+}
+
+BeastHttpClient::Connection::ParseResult BeastHttpClient::Connection::parseInput()
+{
+    while (true) {
+        const LeaseResult room = makeRoom();
+        if (room != LeaseResult::Granted) {
+            state.waitForRoom(*this, room);
+            return ParseResult::NeedsRoom;
+        }
+        if (parser->is_done() && matchesRequest())
+            return ParseResult::Complete;
+        if (parser->is_done()) {
+            if (++droppedResponses > MaxDroppedResponses)
+                return ParseResult::Malformed;
+            closeAfterResponse = closeAfterResponse || !parser->keep_alive();
+            resetParser();
+        }
+        if (input.empty())
+            return ParseResult::NeedsInput;
         boost::beast::error_code error;
         const std::size_t used = parser->put(boost::asio::buffer(input), error);
         input.erase(0, used);
         if (parser->is_header_done() && !hasValidHead())
-            return false;
+            return ParseResult::Malformed;
         if (error == http::error::need_more)
-            return input.size() <= MaxUnparsedBytes;
+            return input.size() <= MaxUnparsedBytes ? ParseResult::NeedsInput
+                                                    : ParseResult::Malformed;
         if (error)
-            return false;
-        if (parser->is_done() && !matchesRequest()) {
-            if (++droppedResponses > MaxDroppedResponses)
-                return false;
-            closeAfterResponse = closeAfterResponse || !parser->keep_alive();
-            resetParser();
+            return ParseResult::Malformed;
+    }
+}
+
+LeaseResult BeastHttpClient::Connection::makeRoom()
+{
+    if (!parser->is_header_done() || parser->is_done())
+        return LeaseResult::Granted;
+    const std::size_t needed = neededBodyCapacity();
+    const std::shared_ptr<ByteAccount> &account = state.options.account;
+    if (account != nullptr && needed > bodyCapacity) {
+        if (lease == nullptr) {
+            lease = std::make_shared<ByteLease>();
+            receivingSince = EpollLoop::instance().now();
         }
+        const HeldBytes requester{.progress = parser->get().body().size(), .since = receivingSince};
+        LeaseResult result = LeaseResult::Refused;
+        do {
+            result = account->extend(*lease, needed, requester, EpollLoop::instance().now());
+        } while (result == LeaseResult::Refused && state.endLongerUnknown(*this));
+        if (result != LeaseResult::Granted)
+            return result;
     }
-    return true;
+    bodyCapacity = std::max(bodyCapacity, needed);
+    reserveExactly(parser->get().body(), bodyCapacity);
+    parser->eager(true);
+    return LeaseResult::Granted;
+}
+
+bool BeastHttpClient::Connection::hasAnnouncedLength() const
+{
+    return parser->is_header_done() && parser->content_length().has_value();
+}
+
+std::size_t BeastHttpClient::Connection::neededBodyCapacity() const
+{
+    if (const auto announced = parser->content_length())
+        return std::min(static_cast<std::size_t>(*announced), state.options.maxBodyBytes);
+    const std::size_t needed = parser->get().body().size() + input.size();
+    if (needed <= bodyCapacity)
+        return bodyCapacity;
+    return bodyCapacityFor(needed, state.options.maxBodyBytes);
+}
+
+void BeastHttpClient::Connection::updateAccount()
+{
+    if (lease == nullptr || lease->bytes() < MinCountedBytes)
+        return;
+    state.options.account->hold(*this,
+                                {.leasedBytes = lease->bytes(),
+                                 .progress = parser->get().body().size(),
+                                 .since = receivingSince},
+                                EpollLoop::instance().now());
+}
+
+void BeastHttpClient::Connection::releaseAccount()
+{
+    if (state.options.account != nullptr)
+        state.options.account->release(*this);
+}
+
+void BeastHttpClient::Connection::evict()
+{
+    EpollLoop::instance().startOnce(std::chrono::milliseconds(0), [weak = state.weak_from_this(),
+                                                                   id = callId] {
+        const std::shared_ptr<State> client = weak.lock();
+        const State::ConnectionPointer connection = client == nullptr ? nullptr : client->find(id);
+        if (connection != nullptr)
+            connection->fail(HttpFailure::Malformed);
+    });
 }
 
 bool BeastHttpClient::Connection::hasValidHead() const
@@ -363,6 +535,7 @@
                                                      .value = std::string(field.value())});
     }
     result.response.body = std::move(message.body());
+    result.response.lease = std::move(lease);
     state.finish(state.find(callId), std::move(result), reusable);
 }
 
@@ -375,7 +548,7 @@
 
 void BeastHttpClient::Connection::fail(HttpFailure reason)
 {
-    state.finish(state.find(callId), failedResult(reason, written > 0), false);
+    state.finish(state.find(callId), failedResult(reason, output.written() > 0), false);
 }
 
 BeastHttpClient::BeastHttpClient(const BeastHttpClientOptions &options)
@@ -403,10 +576,11 @@
     Connection *raw = connection.get();
     raw->callId = id;
     raw->callback = std::move(callback);
-    raw->output = serializeRequest(options.server, request);
-    raw->written = 0;
+    raw->output.clear();
+    raw->output.append(serializeRequest(options.server, request));
     raw->input.clear();
     raw->droppedResponses = 0;
+    raw->waitsForRoom = false;
     raw->headRequest = request.method == "HEAD";
     raw->correlationHeader = options.correlationHeader;
     raw->resetParser();
--- a/drivers/beast/beast_http_client.h
+++ b/drivers/beast/beast_http_client.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "core/byte_account.h"
 #include "servers/http_client.h"
 
 namespace jacinthshift {
@@ -20,6 +21,11 @@
      * end, and the others must not fail because of it.
      */
     std::size_t maxReceivedBytes = 32 * 1024 * 1024;
+    /**
+     * Counts responses from when their head is complete. One without room is not read on until
+     * there is some: those that need least go first. Null for no account.
+     */
+    std::shared_ptr<ByteAccount> account;
     /** Above this number, the connection that has been idle the longest is closed. */
     std::size_t maxIdleConnectionsPerServer = 32;
     /** A connection that was idle for longer is not reused. */
--- a/drivers/beast/beast_server_connection.cpp
+++ b/drivers/beast/beast_server_connection.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http.hpp>
 
+#include "core/text.h"
 #include "drivers/beast/beast_server_state.h"
 #include "drivers/beast/connection_responder.h"
 #include "drivers/beast/http_wire.h"
@@ -23,6 +24,14 @@
 constexpr std::size_t OutputBatchBytes = 64 * 1024;
 /** Bytes of further requests that are read while no further request can be passed on. */
 constexpr std::size_t MaxPipelinedBytes = 64 * 1024;
+/** Evicted holders are gone by then. */
+constexpr std::chrono::milliseconds RoomRetryDelay{1};
+/** A connection that holds less is not worth evicting. */
+constexpr std::size_t MinCountedBytes = 4 * 1024;
+/** A larger head does not wait for room: while it waits, nothing counts what it takes. */
+constexpr std::size_t MaxWaitingHeadCost = 64 * 1024;
+/** An idle connection keeps an input buffer up to this size. */
+constexpr std::size_t MaxIdleInputCapacity = 4 * 1024;
 /** How long the rest of the input is read, so that its caller can read the last response. */
 constexpr std::chrono::milliseconds LingerTime{1'000};
 
@@ -61,25 +70,50 @@
 {
     m_evicted = true;
     EpollLoop::instance().defer([weak = weak_from_this()] {
-        if (const std::shared_ptr<BeastServerConnection> self = weak.lock())
+        const std::shared_ptr<BeastServerConnection> self = weak.lock();
+        const std::shared_ptr<BeastServerState> state =
+                self == nullptr ? nullptr : self->m_state.lock();
+        if (state == nullptr || self->m_closed)
+            return;
+        if (!self->isReadingBody() || !self->m_queue.empty() || !self->m_output.empty()) {
             self->close();
+            return;
+        }
+        self->rejectInput(*state, StatusUnavailable);
+        self->m_account->release(*self);
+        self->process(*state);
     });
 }
 
-void BeastServerConnection::accountOutput()
+void BeastServerConnection::updateAccount()
 {
     if (m_account == nullptr || m_evicted)
         return;
-    if (m_output.empty()) {
+    const auto leaseBytes = [](const std::shared_ptr<const ByteLease> &lease) {
+        return lease == nullptr ? 0 : lease->bytes();
+    };
+    HeldBytes held{
+            .bytes = m_input.capacity() + m_output.unleasedBytes() + m_queue.bufferedHeadBytes(),
+            .leasedBytes =
+                    m_output.leasedBytes() + m_queue.bufferedLeaseBytes() + leaseBytes(m_lease)};
+    if (m_nextRequest)
+        held.leasedBytes += leaseBytes(m_nextRequest->lease);
+    if (held.bytes + held.leasedBytes < MinCountedBytes) {
         m_account->release(*this);
         return;
     }
     const SteadyTime now = EpollLoop::instance().now();
-    if (std::exchange(m_outputIsNew, false))
-        m_outputSince = now;
-    m_account->hold(*this,
-                    {.bytes = m_output.size(), .progress = m_writtenBytes, .since = m_outputSince},
-                    now);
+    held.since = now;
+    if (!m_output.empty()) {
+        if (std::exchange(m_outputIsNew, false))
+            m_outputSince = now;
+        held.progress = m_output.written();
+        held.since = m_outputSince;
+    } else if (isReadingBody()) {
+        held.progress = m_parser->get().body().size();
+        held.since = m_timeoutStart;
+    }
+    m_account->hold(*this, held, now);
 }
 
 void BeastServerConnection::resetParser(const BeastServerState &state)
@@ -87,7 +121,8 @@
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(state.options.maxHeaderBytes));
     m_parser->body_limit(state.options.maxBodyBytes);
-    m_parser->eager(true);
+    // The parser allocates the announced length of a body as soon as it goes on behind the head.
+    m_parser->eager(false);
 }
 
 void BeastServerConnection::start(int descriptor)
@@ -128,8 +163,8 @@
 BeastServerConnection::Wait BeastServerConnection::neededWait(const BeastServerState &state) const
 {
     const bool hasOutput = !m_output.empty();
-    const bool readsInput =
-            m_lingering || m_parserNeedsInput || unparsedBytes() < MaxPipelinedBytes;
+    const bool parserReads = m_parserNeedsInput || unparsedBytes() < MaxPipelinedBytes;
+    const bool readsInput = m_lingering || (parserReads && !m_waitsForRoom);
     if (readsInput)
         return hasOutput ? Wait::InputAndOutput : Wait::Input;
     if (state.options.serveClosedCallers)
@@ -205,14 +240,16 @@
     if (m_closed)
         return;
     m_input.erase(0, std::exchange(m_parsedBytes, 0));
-    accountOutput();
+    if (m_input.empty() && m_input.capacity() > MaxIdleInputCapacity)
+        m_input = std::string();
+    updateAccount();
     waitForSocket(state);
 }
 
 bool BeastServerConnection::writeResponses(const BeastServerState &state)
 {
     while (!m_closed && !m_lingering) {
-        if (m_writtenBytes == 0)
+        if (m_output.written() == 0)
             appendDueResponses(state);
         if (m_output.empty())
             return true;
@@ -225,15 +262,13 @@
 
 void BeastServerConnection::appendDueResponses(const BeastServerState &state)
 {
-    while (m_queue.firstIsAnswered() && m_output.size() < OutputBatchBytes) {
+    while (m_queue.firstIsAnswered() && m_output.acceptsMore()
+           && m_output.size() < OutputBatchBytes) {
         m_closesAfterOutput = closesAfterFirst(state);
-        std::string response = m_queue.takeFirstResponse();
+        SerializedMessage response = m_queue.takeFirstResponse();
         if (m_closesAfterOutput)
             addConnectionClose(response);
-        if (m_output.empty())
-            m_output = std::move(response);
-        else
-            m_output.append(response);
+        m_output.append(std::move(response));
     }
 }
 
@@ -246,18 +281,14 @@
 
 bool BeastServerConnection::writeOutput()
 {
-    while (m_writtenBytes < m_output.size()) {
-        const SocketResult outcome = m_socket.write(
-                m_output.data() + m_writtenBytes, m_output.size() - m_writtenBytes, m_writtenBytes);
-        if (outcome == SocketResult::WouldBlock)
-            return false;
-        if (outcome != SocketResult::Progress) {
-            close();
-            return false;
-        }
+    const SocketResult outcome = m_output.writeTo(m_socket);
+    if (outcome == SocketResult::WouldBlock)
+        return false;
+    if (outcome != SocketResult::Progress) {
+        close();
+        return false;
     }
     m_output.clear();
-    m_writtenBytes = 0;
     return true;
 }
 
@@ -330,7 +361,13 @@
 
 BeastServerConnection::ParseResult BeastServerConnection::parseRequest(BeastServerState &state)
 {
-    while (unparsedBytes() > 0 && !m_parser->is_done()) {
+    while (true) {
+        if (const std::optional<ParseResult> ended = makeRoom(state))
+            return *ended;
+        if (m_parser->is_done())
+            break;
+        if (unparsedBytes() == 0)
+            return ParseResult::NeedsInput;
         if (!m_parser->got_some()) {
             m_timeoutStart = EpollLoop::instance().now();
             m_readDelay = inputDelay();
@@ -346,12 +383,10 @@
             rejectInput(state, StatusBadRequest);
             return ParseResult::Failed;
         }
-        if (!holdBody(state)) {
-            rejectInput(state, StatusUnavailable);
-            return ParseResult::Failed;
-        }
         if (!error)
             continue;
+        if (const std::optional<ParseResult> ended = makeRoom(state))
+            return *ended;
         // The parser takes a chunk's head and the trailer only as a whole.
         if (unparsedBytes() > state.options.maxHeaderBytes) {
             rejectInput(state, StatusHeaderTooLarge);
@@ -359,12 +394,73 @@
         }
         return ParseResult::NeedsInput;
     }
-    if (!m_parser->is_done())
-        return ParseResult::NeedsInput;
     storeNextRequest(state);
     return ParseResult::Complete;
 }
 
+std::optional<BeastServerConnection::ParseResult>
+BeastServerConnection::makeRoom(BeastServerState &state)
+{
+    if (!m_parser->is_header_done())
+        return std::nullopt;
+    if (m_headCost == 0)
+        computeHeadCost();
+    m_bodyCapacity = neededBodyCapacity(state);
+    const LeaseResult result = extendLease();
+    m_waitsForRoom = result == LeaseResult::Evicting && m_headCost <= MaxWaitingHeadCost;
+    if (m_waitsForRoom) {
+        EpollLoop::instance().startOnce(RoomRetryDelay, [weak = weak_from_this()] {
+            const std::shared_ptr<BeastServerConnection> self = weak.lock();
+            const std::shared_ptr<BeastServerState> known =
+                    self == nullptr ? nullptr : self->m_state.lock();
+            if (known != nullptr)
+                self->process(*known);
+        });
+        return ParseResult::NeedsInput;
+    }
+    if (result != LeaseResult::Granted || !holdBody(state)) {
+        rejectInput(state, StatusUnavailable);
+        return ParseResult::Failed;
+    }
+    if (!m_parser->is_done())
+        reserveExactly(m_parser->get().body(), m_bodyCapacity);
+    m_parser->eager(true);
+    return std::nullopt;
+}
+
+void BeastServerConnection::computeHeadCost()
+{
+    std::size_t bytes = m_parser->get().target().size();
+    std::size_t lines = 0;
+    for (const auto &field : m_parser->get()) {
+        bytes += field.name_string().size() + field.value().size();
+        ++lines;
+    }
+    m_headCost = requestCost(bytes, lines);
+}
+
+std::size_t BeastServerConnection::neededBodyCapacity(const BeastServerState &state) const
+{
+    if (const auto announced = m_parser->content_length())
+        return static_cast<std::size_t>(*announced);
+    const std::size_t needed = m_parser->get().body().size() + unparsedBytes();
+    if (m_parser->is_done() || needed <= m_bodyCapacity)
+        return m_bodyCapacity;
+    return bodyCapacityFor(needed, state.options.maxBodyBytes);
+}
+
+LeaseResult BeastServerConnection::extendLease()
+{
+    if (m_account == nullptr)
+        return LeaseResult::Granted;
+    if (m_lease == nullptr)
+        m_lease = std::make_shared<ByteLease>();
+    const SteadyTime now = EpollLoop::instance().now();
+    return m_account->extend(*m_lease, m_headCost + m_bodyCapacity,
+                             {.progress = m_parser->get().body().size(), .since = m_timeoutStart},
+                             now);
+}
+
 void BeastServerConnection::storeNextRequest(const BeastServerState &state)
 {
     m_nextKeepsAlive = m_parser->keep_alive();
@@ -379,9 +475,19 @@
     }
     request.body = std::move(message.body());
     request.waited = m_readDelay;
+    request.lease = std::move(m_lease);
+    forgetReadRequest();
     resetParser(state);
 }
 
+void BeastServerConnection::forgetReadRequest()
+{
+    m_lease.reset();
+    m_headCost = 0;
+    m_bodyCapacity = 0;
+    m_waitsForRoom = false;
+}
+
 void BeastServerConnection::dispatchNextRequest(BeastServerState &state)
 {
     const bool runsAhead = !m_queue.empty();
@@ -402,6 +508,7 @@
     m_acceptsRequests = false;
     m_lingersAfterOutput = true;
     releaseBody(state, std::exchange(m_readBodyBytes, 0));
+    forgetReadRequest();
     resetParser(state);
     HttpResponse response{.status = status};
     if (status == StatusUnavailable)
@@ -458,12 +565,12 @@
     if (m_queue.isFirst(number) && m_output.empty()) {
         m_closesAfterOutput = closesAfterFirst(*state);
         releaseBody(*state, m_queue.removeFirst());
-        m_output = serializeResponse(response, !m_closesAfterOutput);
+        m_output.append(serializeResponse(response, !m_closesAfterOutput));
         updateEstimate(m_output.size());
     } else {
-        std::string bytes = serializeResponse(response, true);
-        updateEstimate(bytes.size());
-        releaseBody(*state, m_queue.hold(number, std::move(bytes)));
+        SerializedMessage message = serializeResponse(response, true);
+        updateEstimate(message.size());
+        releaseBody(*state, m_queue.hold(number, std::move(message)));
     }
     process(*state);
 }
@@ -481,6 +588,8 @@
     m_closed = true;
     if (m_account != nullptr)
         m_account->release(*this);
+    m_output.clear();
+    m_lease.reset();
     const std::shared_ptr<BeastServerConnection> self = shared_from_this();
     const std::shared_ptr<BeastServerState> state = m_state.lock();
     m_socket.close();
--- a/drivers/beast/beast_server_connection.h
+++ b/drivers/beast/beast_server_connection.h
@@ -13,6 +13,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include "core/byte_account.h"
+#include "drivers/beast/message_output.h"
 #include "drivers/beast/response_queue.h"
 #include "drivers/tcp/tcp_socket.h"
 #include "servers/http_message.h"
@@ -45,9 +46,8 @@
     std::optional<Parser> m_parser;
     std::string m_input;
     std::size_t m_parsedBytes = 0; ///< The part of m_input that the parser has taken.
-    std::string m_output;
-    std::size_t m_writtenBytes = 0; ///< The part of m_output that the socket has taken.
-    ResponseQueue m_queue;          ///< Requests whose responses are not in m_output.
+    MessageOutput m_output;
+    ResponseQueue m_queue; ///< Requests whose responses are not in m_output.
     /** A request that was read and may not yet be passed to the handler. */
     std::optional<HttpRequest> m_nextRequest;
     bool m_nextMustWait = false;      ///< m_nextRequest may not run ahead.
@@ -59,8 +59,12 @@
     bool m_lingering = false; ///< All is written; the rest of the input is read and dropped.
     bool m_processing = false;
     bool m_closed = false;
-    std::size_t m_readBodyBytes = 0; ///< Held for the body that is being read.
-    std::size_t m_heldBodyBytes = 0; ///< Held for the bodies of all requests of the connection.
+    std::shared_ptr<ByteLease> m_lease; ///< For the request that is being read.
+    std::size_t m_headCost = 0;         ///< Of its head, once that is complete.
+    std::size_t m_bodyCapacity = 0;     ///< Of its body.
+    bool m_waitsForRoom = false;        ///< It is not read on until evicted holders are gone.
+    std::size_t m_readBodyBytes = 0;    ///< Held for the body that is being read.
+    std::size_t m_heldBodyBytes = 0;    ///< Held for the bodies of all requests of the connection.
     std::size_t m_estimatedResponseBytes = 0;
     std::chrono::milliseconds m_acceptDelay{0}; ///< How long it may have waited to be accepted.
     std::chrono::milliseconds m_readDelay{0};   ///< How long the current request has waited.
@@ -94,13 +98,24 @@
     void dispatchNextRequest(BeastServerState &state);
     /** Answers invalid or late input with an error status, after the requests before it. */
     void rejectInput(BeastServerState &state, int status);
-    /** Reserves room for the body that is being read. Returns false if there is none. */
+    /**
+     * Takes room for the request that is being read, before more of it is. Returns what its parsing
+     * ends with if there is none now.
+     */
+    std::optional<ParseResult> makeRoom(BeastServerState &state);
+    LeaseResult extendLease();
+    void computeHeadCost();
+    /** Returns the capacity that the body needs for its announced length or for the input. */
+    std::size_t neededBodyCapacity(const BeastServerState &state) const;
+    /** Counts the body that is being read. Returns false if it exceeds maxHeldBodyBytes. */
     bool holdBody(BeastServerState &state);
+    void forgetReadRequest();
+    bool isReadingBody() const { return m_lease != nullptr && !m_parser->is_done(); }
     void releaseBody(BeastServerState &state, std::size_t bytes);
     /** Returns how long the current request may have waited before its first byte was read. */
     std::chrono::milliseconds inputDelay();
     void updateEstimate(std::size_t responseBytes);
-    void accountOutput();
+    void updateAccount();
 
     std::size_t unparsedBytes() const { return m_input.size() - m_parsedBytes; }
     Wait neededWait(const BeastServerState &state) const;
@@ -122,7 +137,10 @@
     bool isExpired(SteadyTime now) const;
     /** Closes the connection, after an error response if a head is incomplete. */
     void expire();
-    /** Closes the connection at the end of the loop iteration. */
+    /**
+     * Closes the connection at the end of the loop iteration, or refuses the request of which it
+     * has only read a part.
+     */
     void evict() override;
     bool isSilent() const { return !m_hasReceived; }
     /** Returns when the connection became idle, or was accepted. */
--- a/drivers/beast/http_wire.cpp
+++ b/drivers/beast/http_wire.cpp
@@ -1,5 +1,6 @@
 #include "drivers/beast/http_wire.h"
 
+#include <algorithm>
 #include <iterator>
 #include <string_view>
 
@@ -12,16 +13,28 @@
 namespace {
 
 constexpr std::size_t TypicalHeaderBytes = 512;
+/** A body up to this size is copied behind its head, so that both take one write. */
+constexpr std::size_t MaxCopiedBodyBytes = 16 * 1024;
 
 void appendHeader(std::string &bytes, std::string_view name, std::string_view value)
 {
     bytes.append(name).append(": ").append(value).append("\r\n");
 }
 
-void appendBody(std::string &bytes, const std::string &body)
+/** Ends the head with the length of the body. */
+void appendBody(SerializedMessage &message, const SharedBytes &body)
 {
-    appendHeader(bytes, "Content-Length", std::to_string(body.size()));
-    bytes.append("\r\n").append(body);
+    appendHeader(message.head, "Content-Length", std::to_string(body.size()));
+    message.head.append("\r\n");
+    if (body.size() <= MaxCopiedBodyBytes)
+        message.head.append(body.string());
+    else
+        message.body = body;
+}
+
+std::size_t copiedBytes(const SharedBytes &body)
+{
+    return body.size() <= MaxCopiedBodyBytes ? body.size() : 0;
 }
 
 bool needsContentLength(const HttpRequest &request)
@@ -32,10 +45,11 @@
 
 } // namespace
 
-std::string serializeRequest(const Endpoint &server, const HttpRequest &request)
+SerializedMessage serializeRequest(const Endpoint &server, const HttpRequest &request)
 {
-    std::string bytes;
-    bytes.reserve(TypicalHeaderBytes + request.body.size());
+    SerializedMessage message{.lease = request.lease};
+    std::string &bytes = message.head;
+    bytes.reserve(TypicalHeaderBytes + copiedBytes(request.body));
     bytes.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
     const std::string_view host = findHeader(request.headers, "host");
     appendHeader(bytes, "Host", host.empty() ? std::string_view(server.text()) : host);
@@ -46,16 +60,17 @@
             appendHeader(bytes, header.name, header.value);
     }
     if (needsContentLength(request))
-        appendBody(bytes, request.body);
+        appendBody(message, request.body);
     else
         bytes.append("\r\n");
-    return bytes;
+    return message;
 }
 
-std::string serializeResponse(const HttpResponse &response, bool keepAlive)
+SerializedMessage serializeResponse(const HttpResponse &response, bool keepAlive)
 {
-    std::string bytes;
-    bytes.reserve(TypicalHeaderBytes + response.body.size());
+    SerializedMessage message{.lease = response.lease};
+    std::string &bytes = message.head;
+    bytes.reserve(TypicalHeaderBytes + copiedBytes(response.body));
     const boost::beast::string_view reason = boost::beast::http::obsolete_reason(
             boost::beast::http::int_to_status(static_cast<unsigned>(response.status)));
     bytes.append("HTTP/1.1 ").append(std::to_string(response.status)).append(" ");
@@ -66,8 +81,8 @@
     }
     if (!keepAlive)
         appendHeader(bytes, "Connection", "close");
-    appendBody(bytes, response.body);
-    return bytes;
+    appendBody(message, response.body);
+    return message;
 }
 
 bool hasRepeatedLength(const boost::beast::http::fields &head)
@@ -78,10 +93,19 @@
     return std::next(first) != last || first->value().find(',') != std::string_view::npos;
 }
 
-void addConnectionClose(std::string &response)
+std::size_t bodyCapacityFor(std::size_t neededBytes, std::size_t maxBodyBytes)
+{
+    constexpr std::size_t MinCapacity = 4 * 1024;
+    std::size_t capacity = maxBodyBytes;
+    while (capacity / 2 >= std::max(neededBytes, MinCapacity))
+        capacity /= 2;
+    return capacity;
+}
+
+void addConnectionClose(SerializedMessage &response)
 {
     const std::string_view endOfLine = "\r\n";
-    response.insert(response.find(endOfLine) + endOfLine.size(), "Connection: close\r\n");
+    response.head.insert(response.head.find(endOfLine) + endOfLine.size(), "Connection: close\r\n");
 }
 
 } // namespace jacinthshift
--- a/drivers/beast/http_wire.h
+++ b/drivers/beast/http_wire.h
@@ -10,17 +10,27 @@
 
 namespace jacinthshift {
 
+/** The bytes of a message. */
+struct SerializedMessage
+{
+    std::string head; ///< With the body, if that is short.
+    SharedBytes body; ///< Follows the head.
+    std::shared_ptr<const ByteLease> lease;
+
+    std::size_t size() const { return head.size() + body.size(); }
+};
+
 /**
  * Returns the bytes of a request. The Host header is that of the request or else the server's
  * address. Expect and hop-by-hop headers are left out.
  */
-std::string serializeRequest(const Endpoint &server, const HttpRequest &request);
+SerializedMessage serializeRequest(const Endpoint &server, const HttpRequest &request);
 
 /**
  * Returns the bytes of a response without its hop-by-hop headers. Adds "Connection: close" unless
  * the connection is kept alive.
  */
-std::string serializeResponse(const HttpResponse &response, bool keepAlive);
+SerializedMessage serializeResponse(const HttpResponse &response, bool keepAlive);
 
 /**
  * Returns whether a head gives its Content-Length more than once, also with equal values. The next
@@ -28,8 +38,15 @@
  */
 bool hasRepeatedLength(const boost::beast::http::fields &head);
 
-/** Adds "Connection: close" to the bytes of a response that was serialized without it. */
-void addConnectionClose(std::string &response);
+/**
+ * Returns the capacity for a body of unknown length of which this many bytes are needed: the limit
+ * or its half, quarter, ..., so that old and new buffer together never take more than 1.5 times the
+ * limit.
+ */
+std::size_t bodyCapacityFor(std::size_t neededBytes, std::size_t maxBodyBytes);
+
+/** Adds "Connection: close" to a response that was serialized without it. */
+void addConnectionClose(SerializedMessage &response);
 
 } // namespace jacinthshift
 
--- a/drivers/beast/response_queue.cpp
+++ b/drivers/beast/response_queue.cpp
@@ -20,7 +20,7 @@
     return m_firstNumber + m_entries.size() - 1;
 }
 
-void ResponseQueue::addResponse(std::string response)
+void ResponseQueue::addResponse(SerializedMessage response)
 {
     const std::uint64_t number = add(0, 0);
     hold(number, std::move(response));
@@ -48,7 +48,7 @@
     return bodyBytes;
 }
 
-std::size_t ResponseQueue::hold(std::uint64_t number, std::string response)
+std::size_t ResponseQueue::hold(std::uint64_t number, SerializedMessage response)
 {
     Entry &held = entry(number);
     held.response = std::move(response);
@@ -60,10 +60,10 @@
     return std::exchange(held.bodyBytes, 0);
 }
 
-std::string ResponseQueue::takeFirstResponse()
+SerializedMessage ResponseQueue::takeFirstResponse()
 {
     Entry &first = m_entries.front();
-    std::string response = std::move(first.response);
+    SerializedMessage response = std::move(first.response);
     m_budget->bufferedBytes -= first.reservedBytes;
     reserve(first, 0);
     m_entries.erase(m_entries.begin());
@@ -71,6 +71,23 @@
     return response;
 }
 
+std::size_t ResponseQueue::bufferedHeadBytes() const
+{
+    std::size_t bytes = 0;
+    for (const Entry &known : m_entries)
+        bytes += known.response.lease == nullptr ? known.response.size()
+                                                 : known.response.head.size();
+    return bytes;
+}
+
+std::size_t ResponseQueue::bufferedLeaseBytes() const
+{
+    std::size_t bytes = 0;
+    for (const Entry &known : m_entries)
+        bytes += known.response.lease == nullptr ? 0 : known.response.lease->bytes();
+    return bytes;
+}
+
 std::vector<std::function<void()>> ResponseQueue::clear()
 {
     std::vector<std::function<void()>> callbacks;
--- a/drivers/beast/response_queue.h
+++ b/drivers/beast/response_queue.h
@@ -5,9 +5,9 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <string>
 #include <vector>
 
+#include "drivers/beast/http_wire.h"
 #include "drivers/beast/response_budget.h"
 
 namespace jacinthshift {
@@ -20,7 +20,7 @@
 {
     struct Entry
     {
-        std::string response; ///< The bytes of the response, once isAnswered is set.
+        SerializedMessage response; ///< Once isAnswered is set.
         std::function<void()> callerGone;
         std::size_t bodyBytes = 0;     ///< The size of the request's body.
         std::size_t reservedBytes = 0; ///< The entry's part of m_reservedBytes.
@@ -53,7 +53,7 @@
     /** Appends a request and returns its number. The estimate of its response is reserved. */
     std::uint64_t add(std::size_t bodyBytes, std::size_t estimatedResponseBytes);
     /** Appends a response that has no request. */
-    void addResponse(std::string response);
+    void addResponse(SerializedMessage response);
 
     /** Returns whether the request with this number has no response yet. */
     bool isOpen(std::uint64_t number) const;
@@ -63,11 +63,14 @@
     /** Ends an open request that is the first, and returns the size of its body. */
     std::size_t removeFirst();
     /** Stores the response to an open request, and returns the size of its body. */
-    std::size_t hold(std::uint64_t number, std::string response);
+    std::size_t hold(std::uint64_t number, SerializedMessage response);
 
+    /** Returns the bytes of the responses that wait, without those of leases. */
+    std::size_t bufferedHeadBytes() const;
+    std::size_t bufferedLeaseBytes() const;
     bool firstIsAnswered() const { return !m_entries.empty() && m_entries.front().isAnswered; }
     /** Removes the first request, which is answered, and returns its response. */
-    std::string takeFirstResponse();
+    SerializedMessage takeFirstResponse();
 
     /** Removes all entries. Returns the callbacks of the open requests. */
     std::vector<std::function<void()>> clear();
--- a/drivers/http_log/http_log_client.cpp
+++ b/drivers/http_log/http_log_client.cpp
@@ -24,7 +24,7 @@
     if (status == 503 || status == 429 || (status >= 400 && status < 500))
         return absl::UnavailableError(
                 joinText("the platform's log refused an append with status ", status));
-    const json body = json::parse(result.response.body, nullptr, false);
+    const json body = json::parse(result.response.body.string(), nullptr, false);
     if (status != 200 || !body.is_object() || !body.contains("offset")
         || !body["offset"].is_number_unsigned())
         return absl::UnknownError("the platform's log sent a malformed response to an append");
@@ -38,7 +38,7 @@
     if (result.response.status != 200)
         return absl::UnavailableError(
                 joinText("the platform's log refused a read with status ", result.response.status));
-    const json body = json::parse(result.response.body, nullptr, false);
+    const json body = json::parse(result.response.body.string(), nullptr, false);
     try {
         LogPage page;
         page.firstOffset = body.at("first").get<std::uint64_t>();
--- a/drivers/soup/soup_http_client.cpp
+++ b/drivers/soup/soup_http_client.cpp
@@ -96,7 +96,7 @@
     gsize size = 0;
     const void *data = g_bytes_get_data(bytes, &size);
     if (size > 0)
-        result.response.body.assign(static_cast<const char *>(data), size);
+        result.response.body = std::string(static_cast<const char *>(data), size);
     SoupMessageHeadersIter iter;
     const char *name = nullptr;
     const char *value = nullptr;
--- a/drivers/soup/soup_http_server.cpp
+++ b/drivers/soup/soup_http_server.cpp
@@ -94,7 +94,7 @@
     gsize size = 0;
     const void *data = g_bytes_get_data(bytes, &size);
     if (size > 0)
-        request.body.assign(static_cast<const char *>(data), size);
+        request.body = std::string(static_cast<const char *>(data), size);
     g_bytes_unref(bytes);
     return request;
 }
--- a/drivers/websocket/websocket_session.cpp
+++ b/drivers/websocket/websocket_session.cpp
@@ -26,29 +26,29 @@
  */
 class ExpansionScope
 {
-    static inline ExpansionScope *s_current = nullptr;
+    static inline ExpansionScope *current = nullptr;
 
     std::size_t &m_bytes;
     const std::function<bool(std::size_t)> &m_mayExpand;
-    ExpansionScope *m_outer = s_current;
+    ExpansionScope *m_outer = current;
 
 public:
     ExpansionScope(std::size_t &bytes, const std::function<bool(std::size_t)> &mayExpand)
         : m_bytes(bytes), m_mayExpand(mayExpand)
     {
-        s_current = this;
+        current = this;
     }
-    ~ExpansionScope() { s_current = m_outer; }
+    ~ExpansionScope() { current = m_outer; }
     ExpansionScope(const ExpansionScope &) = delete;
     ExpansionScope &operator=(const ExpansionScope &) = delete;
 
     /** Adds to the bytes of the current message. Returns false if there are too many. */
     static bool add(std::size_t bytes)
     {
-        if (s_current == nullptr)
+        if (current == nullptr)
             return false;
-        s_current->m_bytes += bytes;
-        return s_current->m_mayExpand(s_current->m_bytes);
+        current->m_bytes += bytes;
+        return current->m_mayExpand(current->m_bytes);
     }
 };
 
--- a/modules/fleet/call_server.cpp
+++ b/modules/fleet/call_server.cpp
@@ -17,6 +17,37 @@
     , m_budget(options.budget)
 {
     network.addObserver(*this);
+    m_parts.setEvictedCallback([this](const CallKey &key) {
+        dropStoredResult(key);
+        sendResult(key, WorkResult{.verdict = Verdict::MayHaveRun,
+                                   .refusal = WorkRefusal::Lost,
+                                   .reachedBackend = true});
+    });
+}
+
+CallServer::IncomingCall::~IncomingCall()
+{
+    if (server != nullptr && server->m_options.account != nullptr)
+        server->m_options.account->release(*this);
+}
+
+void CallServer::IncomingCall::updateAccount()
+{
+    if (work.request.lease == nullptr)
+        return;
+    server->m_options.account->hold(*this,
+                                    {.leasedBytes = work.request.lease->bytes(),
+                                     .progress = body.size(),
+                                     .since = arrivedAt},
+                                    server->m_timers.now());
+}
+
+void CallServer::IncomingCall::evict()
+{
+    server->m_timers.startOnce(std::chrono::milliseconds(0), [owner = server, known = key] {
+        if (owner->m_incoming.erase(known) > 0)
+            owner->refuseForRoom(known);
+    });
 }
 
 bool CallServer::isOrphaned(const CallKey &key) const
@@ -28,18 +59,112 @@
 void CallServer::messageReceived(const std::string &node, const FleetMessage &message)
 {
     if (const WorkCallMessage *call = std::get_if<WorkCallMessage>(&message))
-        callArrived({.node = node, .process = call->callerProcess, .number = call->call},
-                    call->work);
+        callReceived({.node = node, .process = call->callerProcess, .number = call->call}, *call);
+    else if (const RequestPartMessage *part = std::get_if<RequestPartMessage>(&message))
+        partReceived({.node = node, .process = part->callerProcess, .number = part->call}, *part);
+    else if (const ResponseRoomMessage *room = std::get_if<ResponseRoomMessage>(&message))
+        m_parts.start({.node = node, .process = room->callerProcess, .number = room->call});
     else if (const WorkCancelMessage *cancelled = std::get_if<WorkCancelMessage>(&message))
         cancel({.node = node, .process = cancelled->callerProcess, .number = cancelled->call});
     else if (const WorkResumeMessage *resumed = std::get_if<WorkResumeMessage>(&message))
         resume(node, *resumed);
 }
 
-void CallServer::callArrived(const CallKey &key, const WorkRequest &work)
+void CallServer::callReceived(const CallKey &key, const WorkCallMessage &message)
+{
+    // A duplicate may arrive late over a link that the sender has abandoned.
+    if (m_running.contains(key) || m_ended.contains(key) || m_incoming.contains(key))
+        return;
+    WorkRequest work = message.work;
+    const std::size_t following = message.followingBodyBytes;
+    if (!makeRoom(key, work, std::max(following, work.request.body.size())))
+        return;
+    if (following == 0) {
+        callArrived(key, std::move(work));
+        return;
+    }
+    IncomingCall &incoming = m_incoming[key];
+    incoming.server = this;
+    incoming.key = key;
+    incoming.work = std::move(work);
+    incoming.body.reserve(following);
+    incoming.bodyBytes = following;
+    incoming.arrivedAt = m_timers.now();
+    incoming.updateAccount();
+}
+
+bool CallServer::makeRoom(const CallKey &key, WorkRequest &work, std::size_t bodyBytes)
+{
+    if (m_options.account == nullptr)
+        return true;
+    const SteadyTime now = m_timers.now();
+    const auto lease = std::make_shared<ByteLease>();
+    const LeaseResult result = m_options.account->extend(
+            *lease, requestCost(work.request) + bodyBytes, {.since = now}, now);
+    if (result != LeaseResult::Granted) {
+        refuseForRoom(key);
+        return false;
+    }
+    work.request.lease = lease;
+    return true;
+}
+
+void CallServer::refuseForRoom(const CallKey &key)
+{
+    logEvent(Event::AdmissionRefused, {{"caller", key.node},
+                                       {"call", key.number},
+                                       {"reason", refusalName(WorkRefusal::Overloaded)},
+                                       {"held", m_options.account->bytes()}});
+    callFinished(key, WorkResult{.verdict = Verdict::NotRun,
+                                 .refusal = WorkRefusal::Overloaded,
+                                 .retryAfter = m_options.retryAfterWithoutRoom});
+}
+
+void CallServer::partReceived(const CallKey &key, const RequestPartMessage &part)
+{
+    const auto found = m_incoming.find(key);
+    if (found == m_incoming.end())
+        return;
+    IncomingCall &incoming = found->second;
+    if (part.offset != incoming.body.size()
+        || part.bytes.size() > incoming.bodyBytes - incoming.body.size())
+        return;
+    incoming.body += part.bytes;
+    if (incoming.body.size() < incoming.bodyBytes) {
+        incoming.updateAccount();
+        return;
+    }
+    WorkRequest work = std::move(incoming.work);
+    work.request.body = std::move(incoming.body);
+    const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
+            m_timers.now() - incoming.arrivedAt);
+    work.timeLeft = std::max(work.timeLeft - elapsed, std::chrono::milliseconds(0));
+    work.targetTimeLeft = std::max(work.targetTimeLeft - elapsed, std::chrono::milliseconds(0));
+    m_incoming.erase(found);
+    callArrived(key, std::move(work));
+}
+
+void CallServer::dropIncomingCalls(const std::string &node, std::uint64_t process,
+                                   std::uint64_t lastCall)
+{
+    std::erase_if(m_incoming, [&](const auto &entry) {
+        const CallKey &key = entry.first;
+        return key.node == node && key.process == process && key.number <= lastCall;
+    });
+}
+
+void CallServer::linksChanged(const std::string &node)
+{
+    // The sender of a body ends its transfer with the link, and resumes the call over the next one.
+    const FleetPeer *peer = m_network.peer(node);
+    if (peer == nullptr || peer->links.empty())
+        std::erase_if(m_incoming, [&](const auto &entry) { return entry.first.node == node; });
+}
+
+void CallServer::callArrived(const CallKey &key, WorkRequest work)
 {
     // A late node reads a call and its cancellation in one go, and must not start the call.
-    m_arrived.push_back({.key = key, .work = work});
+    m_arrived.push_back({.key = key, .work = std::move(work)});
     if (!m_startTimer.isActive())
         m_startTimer = Timer(m_timers, m_timers.startOnce(std::chrono::milliseconds(0),
                                                           [this] { startArrivedCalls(); }));
@@ -116,10 +241,30 @@
                                        {"refusal", refusalName(result.refusal)}});
         return;
     }
+    storeResult(key, result);
+    sendResult(key, result);
+}
+
+void CallServer::storeResult(const CallKey &key, const WorkResult &result)
+{
+    dropStoredResult(key);
     m_results[key] = result;
+    m_storedBytes += result.response.body.size();
     m_resultExpiry.push_back(
             ExpiryEntry{.key = key, .expiresAt = m_timers.now() + m_options.resultRetention});
-    sendResult(key, result);
+    while (m_storedBytes > m_options.maxStoredBytes && !m_resultExpiry.empty()) {
+        dropStoredResult(m_resultExpiry.front().key);
+        m_resultExpiry.pop_front();
+    }
+}
+
+void CallServer::dropStoredResult(const CallKey &key)
+{
+    const auto stored = m_results.find(key);
+    if (stored == m_results.end())
+        return;
+    m_storedBytes -= stored->second.response.body.size();
+    m_results.erase(stored);
 }
 
 void CallServer::sendResult(const CallKey &key, const WorkResult &result)
@@ -143,17 +288,20 @@
         m_network.send(key.node, message);
         return;
     }
-    const auto body = std::make_shared<const std::string>(
-            std::exchange(message.result.response.body, std::string()));
-    message.followingBodyBytes = body->size();
+    const SharedBytes body = std::exchange(message.result.response.body, SharedBytes());
+    message.followingBodyBytes = body.size();
     if (m_network.send(key.node, message))
-        m_parts.send(key, body);
+        m_parts.send(key, {.bytes = body,
+                           .lease = result.response.lease,
+                           .waits = body.size() > MaxUnaskedBodyBytes});
 }
 
 void CallServer::resume(const std::string &node, const WorkResumeMessage &message)
 {
     removeExpired();
     startArrivedCalls();
+    // Their bodies do not arrive any more: resultOrFence() reports these calls as not run.
+    dropIncomingCalls(node, message.callerProcess, message.lastCall);
     endGivenUpCalls(node, message);
     for (const std::uint64_t call : message.calls) {
         const CallKey key{.node = node, .process = message.callerProcess, .number = call};
@@ -213,6 +361,7 @@
     const auto running = m_running.find(key);
     if (running == m_running.end()) {
         m_parts.cancel(key);
+        m_incoming.erase(key);
         if (!m_ended.contains(key))
             recordEndedCall(key, CallEnd::Fenced);
         return;
@@ -238,7 +387,7 @@
         return !expiry.empty() && (expiry.front().expiresAt <= now || expiry.size() > limit);
     };
     while (isDue(m_resultExpiry, m_options.maxStoredResults)) {
-        m_results.erase(m_resultExpiry.front().key);
+        dropStoredResult(m_resultExpiry.front().key);
         m_resultExpiry.pop_front();
     }
     while (isDue(m_endedExpiry, m_options.maxEndedCalls)) {
--- a/modules/fleet/call_server.h
+++ b/modules/fleet/call_server.h
@@ -49,6 +49,11 @@
      */
     std::chrono::milliseconds endedCallRetention{120'000};
     std::size_t maxEndedCalls = 100'000;
+    /** Bytes of the bodies of all stored results; the oldest results are dropped beyond it. */
+    std::size_t maxStoredBytes = 8 * 1024 * 1024;
+    /** Counts calls from their arrival; one without room is refused. Null for none. */
+    std::shared_ptr<ByteAccount> account;
+    std::chrono::milliseconds retryAfterWithoutRoom{100};
     PartSenderOptions parts;      ///< How large response bodies are sent.
     ResponseBudgetOptions budget; ///< Which of them the link can send in time.
 };
@@ -78,6 +83,20 @@
         CallKey key;
         WorkRequest work;
     };
+    /** A call whose request body is arriving in parts. */
+    struct IncomingCall final : ByteHolder
+    {
+        CallServer *server = nullptr;
+        CallKey key;
+        WorkRequest work;
+        std::string body; ///< The parts received so far.
+        std::uint64_t bodyBytes = 0;
+        SteadyTime arrivedAt;
+
+        void updateAccount();
+        void evict() override;
+        ~IncomingCall() override;
+    };
     struct ExpiryEntry
     {
         CallKey key;
@@ -90,6 +109,7 @@
     WorkHandler &m_handler;
     PartSender m_parts;
     ResponseBudget m_budget;
+    std::map<CallKey, IncomingCall> m_incoming;
     std::vector<ArrivedCall> m_arrived;
     Timer m_startTimer; ///< Active while calls are about to start.
     std::map<CallKey, RunningCall> m_running;
@@ -97,11 +117,21 @@
     std::map<std::string, CallKey> m_lastResumed;
     std::map<CallKey, WorkResult> m_results;
     std::deque<ExpiryEntry> m_resultExpiry;
+    std::size_t m_storedBytes = 0; ///< Of the bodies in m_results.
     std::map<CallKey, CallEnd> m_ended;
     std::deque<ExpiryEntry> m_endedExpiry;
     std::uint64_t m_orphanedCalls = 0; ///< Calls that ended after their caller's process.
 
-    void callArrived(const CallKey &key, const WorkRequest &work);
+    void callReceived(const CallKey &key, const WorkCallMessage &message);
+    void partReceived(const CallKey &key, const RequestPartMessage &part);
+    void callArrived(const CallKey &key, WorkRequest work);
+    /** Takes room for a call with a body of this size. Refuses the call if there is none. */
+    bool makeRoom(const CallKey &key, WorkRequest &work, std::size_t bodyBytes);
+    void refuseForRoom(const CallKey &key);
+    /** Drops the calls of a process whose bodies have not arrived. */
+    void dropIncomingCalls(const std::string &node, std::uint64_t process, std::uint64_t lastCall);
+    void storeResult(const CallKey &key, const WorkResult &result);
+    void dropStoredResult(const CallKey &key);
     void startArrivedCalls();
     void startCall(const CallKey &key, const WorkRequest &work);
     /** Returns whether the link has room for the call's response; refuses the call otherwise. */
@@ -139,7 +169,7 @@
     }
 
     void messageReceived(const std::string &node, const FleetMessage &message) override;
-    void linksChanged(const std::string &) override {}
+    void linksChanged(const std::string &node) override;
 };
 
 } // namespace jacinthshift
--- a/modules/fleet/message_codec.cpp
+++ b/modules/fleet/message_codec.cpp
@@ -125,6 +125,11 @@
     writer.writeBytes(bytes.string);
 }
 
+void encode(CborWriter &writer, const Bytes<const SharedBytes> &bytes)
+{
+    writer.writeBytes(bytes.string.string());
+}
+
 void encode(CborWriter &writer, const PackedHeaders<const std::vector<HttpHeader>> &packed)
 {
     std::string lines;
@@ -212,6 +217,11 @@
     bytes.string = reader.takeBytes();
 }
 
+void decode(CborReader &reader, const Bytes<SharedBytes> &bytes)
+{
+    bytes.string = SharedBytes(reader.takeBytes());
+}
+
 void decode(CborReader &reader, const PackedHeaders<std::vector<HttpHeader>> &packed)
 {
     std::string_view lines = reader.takeBytes();
@@ -289,6 +299,23 @@
         reader.skip();
 }
 
+/** Like decodeFields() with a last field that may be missing. */
+template <typename Optional, typename... Fields>
+void decodeFieldsAndOptional(CborReader &reader, Optional &last, Fields &&...fields)
+{
+    std::uint64_t count = reader.beginArray();
+    if (count < sizeof...(Fields))
+        throw CborError("fields are missing");
+    (decode(reader, fields), ...);
+    count -= sizeof...(Fields);
+    if (count > 0) {
+        decode(reader, last);
+        --count;
+    }
+    for (; count > 0; --count)
+        reader.skip();
+}
+
 void encode(CborWriter &writer, const ArmEvidence &counts)
 {
     encodeFields(writer, counts.requests, counts.failures, counts.refused, counts.latency);
@@ -377,21 +404,28 @@
 {
     const WorkRequest &work = message.work;
     writer.reserve(TypicalFrameBytes + work.request.body.size());
-    encodeFields(writer, message.call, work.request.method, Bytes{work.request.target},
-                 PackedHeaders{work.request.headers}, Bytes{work.request.body}, work.route,
-                 work.service, work.callerService, work.priority, work.idempotent,
-                 work.isCallerRetry, work.mayHaveRun, work.timeLeft, work.targetTimeLeft,
-                 work.version, message.callerProcess, work.workspace);
+    const auto encodeWith = [&](const auto &...optional) {
+        encodeFields(writer, message.call, work.request.method, Bytes{work.request.target},
+                     PackedHeaders{work.request.headers}, Bytes{work.request.body}, work.route,
+                     work.service, work.callerService, work.priority, work.idempotent,
+                     work.isCallerRetry, work.mayHaveRun, work.timeLeft, work.targetTimeLeft,
+                     work.version, message.callerProcess, work.workspace, optional...);
+    };
+    if (message.followingBodyBytes > 0)
+        encodeWith(message.followingBodyBytes);
+    else
+        encodeWith();
 }
 
 void decode(CborReader &reader, WorkCallMessage &message)
 {
     WorkRequest &work = message.work;
-    decodeFields(reader, message.call, work.request.method, Bytes{work.request.target},
-                 PackedHeaders{work.request.headers}, Bytes{work.request.body}, work.route,
-                 work.service, work.callerService, work.priority, work.idempotent,
-                 work.isCallerRetry, work.mayHaveRun, work.timeLeft, work.targetTimeLeft,
-                 work.version, message.callerProcess, work.workspace);
+    decodeFieldsAndOptional(reader, message.followingBodyBytes, message.call, work.request.method,
+                            Bytes{work.request.target}, PackedHeaders{work.request.headers},
+                            Bytes{work.request.body}, work.route, work.service, work.callerService,
+                            work.priority, work.idempotent, work.isCallerRetry, work.mayHaveRun,
+                            work.timeLeft, work.targetTimeLeft, work.version, message.callerProcess,
+                            work.workspace);
 }
 
 void encode(CborWriter &writer, const WorkResultMessage &message)
@@ -430,6 +464,27 @@
     decodeFields(reader, message.call, message.offset, Bytes{message.bytes}, message.callerProcess);
 }
 
+void encode(CborWriter &writer, const RequestPartMessage &message)
+{
+    writer.reserve(TypicalFrameBytes + message.bytes.size());
+    encodeFields(writer, message.call, message.offset, Bytes{message.bytes}, message.callerProcess);
+}
+
+void decode(CborReader &reader, RequestPartMessage &message)
+{
+    decodeFields(reader, message.call, message.offset, Bytes{message.bytes}, message.callerProcess);
+}
+
+void encode(CborWriter &writer, const ResponseRoomMessage &message)
+{
+    encodeFields(writer, message.call, message.callerProcess);
+}
+
+void decode(CborReader &reader, ResponseRoomMessage &message)
+{
+    decodeFields(reader, message.call, message.callerProcess);
+}
+
 void encode(CborWriter &writer, const WorkCancelMessage &message)
 {
     encodeFields(writer, message.call, message.callerProcess);
--- a/modules/fleet/messages.h
+++ b/modules/fleet/messages.h
@@ -156,6 +156,27 @@
     std::uint64_t callerProcess = 0; ///< Incarnation of the sender's process.
     std::uint64_t call = 0;          ///< Id of the call, unique in the sender's process.
     WorkRequest work;
+    /** Size of a request body that follows in parts; zero if the call holds the whole body. */
+    std::uint64_t followingBodyBytes = 0;
+};
+
+/** A part of the request body of a call; parts are sent in order after the call. */
+struct RequestPartMessage
+{
+    std::uint64_t callerProcess = 0;
+    std::uint64_t call = 0;
+    std::uint64_t offset = 0; ///< Position of the part in the body.
+    std::string bytes;
+};
+
+/** A response body up to this size follows its result without a ResponseRoomMessage. */
+constexpr std::size_t MaxUnaskedBodyBytes = 256 * 1024;
+
+/** The sender has room for the body of a response whose result it has received. */
+struct ResponseRoomMessage
+{
+    std::uint64_t callerProcess = 0;
+    std::uint64_t call = 0;
 };
 
 /** The fields of BackendStatus that change with every request. */
@@ -376,7 +397,8 @@
                      ProbeMessage, ContactsFetchMessage, ContactsMessage, ResponsePartMessage,
                      EvidenceBatchMessage, BackendLeftMessage, KnownCrashesMessage,
                      KnowledgeQuestionMessage, KnowledgeAnswerMessage, UsageCountsMessage,
-                     UsageFetchMessage, UsageSumMessage, UsageSealedMessage>;
+                     UsageFetchMessage, UsageSumMessage, UsageSealedMessage, RequestPartMessage,
+                     ResponseRoomMessage>;
 
 /** Returns the name used in logs. */
 std::string_view refusalName(WorkRefusal refusal);
--- a/modules/fleet/part_sender.cpp
+++ b/modules/fleet/part_sender.cpp
@@ -15,27 +15,77 @@
 {
 }
 
-void PartSender::send(const CallKey &call, std::shared_ptr<const std::string> body)
+PartSender::Transfer::Transfer(PartSender &owner, CallKey key, PartedBody parted)
+    : sender(owner), call(std::move(key)), body(std::move(parted)), since(owner.m_timers.now())
+{
+}
+
+PartSender::Transfer::~Transfer()
+{
+    if (sender.m_options.account != nullptr)
+        sender.m_options.account->release(*this);
+}
+
+void PartSender::Transfer::updateAccount()
+{
+    if (sender.m_options.account == nullptr || body.lease == nullptr)
+        return;
+    sender.m_options.account->hold(
+            *this, {.leasedBytes = body.lease->bytes(), .progress = sent, .since = since},
+            sender.m_timers.now());
+}
+
+void PartSender::Transfer::evict()
+{
+    sender.m_timers.startOnce(std::chrono::milliseconds(0), [&owner = sender, key = call] {
+        if (!owner.isSending(key))
+            return;
+        owner.cancel(key);
+        if (owner.m_evicted != nullptr)
+            owner.m_evicted(key);
+    });
+}
+
+PartSender::Transfers::iterator PartSender::find(const CallKey &call)
+{
+    return std::find_if(m_transfers.begin(), m_transfers.end(),
+                        [&call](const Transfer &transfer) { return transfer.call == call; });
+}
+
+void PartSender::send(const CallKey &call, PartedBody body)
 {
     cancel(call);
-    m_queuedBytes += body->size();
-    m_transfers.push_back(Transfer{.call = call, .body = std::move(body)});
+    Transfer &transfer = m_transfers.emplace_back(*this, call, std::move(body));
+    transfer.updateAccount();
+    if (transfer.body.waits)
+        return;
+    m_queuedBytes += transfer.remaining();
+    if (!m_timer.isActive())
+        sendDueParts();
+}
+
+void PartSender::start(const CallKey &call)
+{
+    const auto found = find(call);
+    if (found == m_transfers.end() || !found->body.waits)
+        return;
+    found->body.waits = false;
+    m_queuedBytes += found->remaining();
     if (!m_timer.isActive())
         sendDueParts();
 }
 
 void PartSender::cancel(const CallKey &call)
 {
-    const auto found =
-            std::find_if(m_transfers.begin(), m_transfers.end(),
-                         [&call](const Transfer &transfer) { return transfer.call == call; });
+    const auto found = find(call);
     if (found != m_transfers.end())
         remove(found);
 }
 
 PartSender::Transfers::iterator PartSender::remove(Transfers::iterator transfer)
 {
-    m_queuedBytes -= transfer->remaining();
+    if (!transfer->body.waits)
+        m_queuedBytes -= transfer->remaining();
     return m_transfers.erase(transfer);
 }
 
@@ -52,9 +102,11 @@
 {
     m_timer.stop();
     refillTokens();
-    for (auto transfer = m_transfers.begin(); transfer != m_transfers.end();)
-        transfer = sendParts(*transfer) ? remove(transfer) : std::next(transfer);
-    if (!m_transfers.empty())
+    for (auto transfer = m_transfers.begin(); transfer != m_transfers.end();) {
+        const bool ended = !transfer->body.waits && sendParts(*transfer);
+        transfer = ended ? remove(transfer) : std::next(transfer);
+    }
+    if (m_queuedBytes > 0)
         scheduleNext();
 }
 
@@ -66,21 +118,33 @@
         if ((limited && m_tokens < static_cast<double>(size))
             || m_network.queuedBytes(transfer.call.node) > m_options.maxQueuedBytesPerLink)
             return false;
-        // A lost link ends the transfer: the calling node requests the result over the next one.
-        if (!m_network.sendUncompressed(
-                    transfer.call.node,
-                    ResponsePartMessage{.callerProcess = transfer.call.process,
-                                        .call = transfer.call.number,
-                                        .offset = transfer.sent,
-                                        .bytes = transfer.body->substr(transfer.sent, size)}))
+        // A lost link ends the transfer: the call is resumed over the next one.
+        if (!sendPart(transfer, size))
             return true;
         transfer.sent += size;
         m_queuedBytes -= size;
         m_tokens -= static_cast<double>(size);
+        transfer.updateAccount();
     }
     return true;
 }
 
+bool PartSender::sendPart(const Transfer &transfer, std::size_t size)
+{
+    const CallKey &call = transfer.call;
+    std::string bytes = transfer.body.bytes.string().substr(transfer.sent, size);
+    if (m_options.kind == BodyKind::Request)
+        return m_network.sendUncompressed(call.node,
+                                          RequestPartMessage{.callerProcess = call.process,
+                                                             .call = call.number,
+                                                             .offset = transfer.sent,
+                                                             .bytes = std::move(bytes)});
+    return m_network.sendUncompressed(call.node, ResponsePartMessage{.callerProcess = call.process,
+                                                                     .call = call.number,
+                                                                     .offset = transfer.sent,
+                                                                     .bytes = std::move(bytes)});
+}
+
 void PartSender::scheduleNext()
 {
     std::chrono::milliseconds delay = m_options.blockedLinkPeriod;
--- a/modules/fleet/remote_call_client.cpp
+++ b/modules/fleet/remote_call_client.cpp
@@ -4,18 +4,12 @@
 
 namespace jacinthshift {
 
-namespace {
-
-WorkResult lostResult(WorkRefusal reason)
-{
-    return WorkResult{.verdict = Verdict::MayHaveRun, .refusal = reason, .reachedBackend = true};
-}
-
-} // namespace
-
 RemoteCallClient::RemoteCallClient(const RemoteCallClientOptions &options, FleetNetwork &network,
                                    TimerService &timers)
-    : m_options(options), m_network(network), m_timers(timers)
+    : m_options(options)
+    , m_network(network)
+    , m_timers(timers)
+    , m_parts(options.parts, network, timers)
 {
     network.addObserver(*this);
 }
@@ -39,9 +33,16 @@
                          .incarnation = peer == nullptr ? 0 : peer->contact.incarnation,
                          .callback = std::move(callback),
                          .idempotent = work.idempotent});
-    if (!m_network.send(node, WorkCallMessage{.callerProcess = ownProcess(),
-                                              .call = id,
-                                              .work = std::move(work)})) {
+    PartedBody body{.lease = work.request.lease};
+    if (work.request.body.size() > m_options.maxInlineBodyBytes)
+        body.bytes = std::exchange(work.request.body, SharedBytes());
+    if (m_network.send(node, WorkCallMessage{.callerProcess = ownProcess(),
+                                             .call = id,
+                                             .work = std::move(work),
+                                             .followingBodyBytes = body.bytes.size()})) {
+        if (!body.bytes.empty())
+            m_parts.send(transferKey(node, id), std::move(body));
+    } else {
         m_timers.startOnce(std::chrono::milliseconds(0), [this, id] {
             finish(id, WorkResult{.verdict = Verdict::NotRun, .refusal = WorkRefusal::Unreachable});
         });
@@ -55,10 +56,24 @@
     if (found == m_calls.end())
         return;
     sendCancel(found->second.node, call);
+    m_parts.cancel(transferKey(found->second.node, call));
     --m_outstandingByNode[found->second.node];
     m_calls.erase(found);
 }
 
+CallKey RemoteCallClient::transferKey(const std::string &node, std::uint64_t call) const
+{
+    return {.node = node, .process = ownProcess(), .number = call};
+}
+
+WorkResult RemoteCallClient::lostResult(const std::string &node, std::uint64_t call)
+{
+    // The owner starts a request once its whole body has arrived.
+    if (m_parts.isSending(transferKey(node, call)))
+        return {.verdict = Verdict::NotRun, .refusal = WorkRefusal::Lost};
+    return {.verdict = Verdict::MayHaveRun, .refusal = WorkRefusal::Lost, .reachedBackend = true};
+}
+
 void RemoteCallClient::sendCancel(const std::string &node, std::uint64_t call)
 {
     m_network.send(node, WorkCancelMessage{.callerProcess = ownProcess(), .call = call});
@@ -76,6 +91,7 @@
     if (found == m_calls.end())
         return;
     const Callback callback = std::move(found->second.callback);
+    m_parts.cancel(transferKey(found->second.node, call));
     --m_outstandingByNode[found->second.node];
     m_calls.erase(found);
     callback(result);
@@ -88,9 +104,11 @@
         return;
     }
     std::vector<std::uint64_t> lost;
-    for (const auto &[id, call] : m_calls) {
+    for (auto &[id, call] : m_calls) {
         if (hasTimedOut(call))
             lost.push_back(id);
+        else if (call.partialResult != nullptr && call.lease == nullptr)
+            makeRoom(id, call);
     }
     for (const std::uint64_t id : lost)
         giveUp(id);
@@ -103,7 +121,7 @@
         return;
     // The owner may only be late. Over a link that is lost, the next resume() ends the call.
     sendCancel(found->second.node, call);
-    finish(call, lostResult(WorkRefusal::Lost));
+    finish(call, lostResult(found->second.node, call));
 }
 
 bool RemoteCallClient::hasTimedOut(const Call &call)
@@ -147,7 +165,7 @@
             call.linkLostAt = m_timers.now();
     }
     for (const std::uint64_t id : lost)
-        finish(id, lostResult(WorkRefusal::Lost));
+        finish(id, lostResult(node, id));
     if (linked)
         resume(node);
 }
@@ -188,16 +206,41 @@
         finish(message.call, message.result);
         return;
     }
+    const std::shared_ptr<ByteAccount> &account = m_options.account;
+    const bool neverFits = account != nullptr && !account->canGrant(message.followingBodyBytes);
     call->partialResult = std::make_unique<WorkResult>(message.result);
     call->bodyBytes = message.followingBodyBytes;
+    call->body.clear();
+    call->lease.reset();
+    call->resultAt = m_timers.now();
+    const bool hasRoom = !neverFits && makeRoom(message.call, *call);
+    const bool mayWait = !neverFits && call->bodyBytes > MaxUnaskedBodyBytes;
+    if (!hasRoom && !mayWait)
+        giveUp(message.call);
+}
+
+bool RemoteCallClient::makeRoom(std::uint64_t id, Call &call)
+{
+    call.lease = std::make_shared<ByteLease>();
+    if (m_options.account != nullptr
+        && m_options.account->extend(*call.lease, call.bodyBytes, {.since = call.resultAt},
+                                     m_timers.now())
+                   != LeaseResult::Granted) {
+        call.lease.reset();
+        return false;
+    }
+    call.body.reserve(call.bodyBytes);
+    if (call.bodyBytes > MaxUnaskedBodyBytes)
+        m_network.send(call.node, ResponseRoomMessage{.callerProcess = ownProcess(), .call = id});
+    return true;
 }
 
 void RemoteCallClient::partReceived(const std::string &node, const ResponsePartMessage &part)
 {
     Call *call = findCall(node, part.callerProcess, part.call);
-    if (call == nullptr || call->partialResult == nullptr)
+    if (call == nullptr || call->partialResult == nullptr || call->lease == nullptr)
         return;
-    std::string &body = call->partialResult->response.body;
+    std::string &body = call->body;
     // After a change of links, parts may arrive that belong before or after the ones received.
     if (part.offset != body.size() || part.bytes.size() > call->bodyBytes - body.size())
         return;
@@ -205,6 +248,8 @@
     if (body.size() < call->bodyBytes)
         return;
     const std::unique_ptr<WorkResult> result = std::move(call->partialResult);
+    result->response.body = std::move(body);
+    result->response.lease = std::move(call->lease);
     finish(part.call, *result);
 }
 
--- a/modules/fleet/remote_call_client.h
+++ b/modules/fleet/remote_call_client.h
@@ -6,6 +6,7 @@
 #include <unordered_map>
 
 #include "modules/fleet/fleet_network.h"
+#include "modules/fleet/part_sender.h"
 
 namespace jacinthshift {
 
@@ -17,6 +18,15 @@
     std::chrono::milliseconds silentNodeTimeout{100};
     /** How often calls are checked for these timeouts. */
     std::chrono::milliseconds checkPeriod{50};
+    /** Longer request bodies follow their calls in parts, so that they do not delay other frames.
+     */
+    std::size_t maxInlineBodyBytes = 64 * 1024;
+    /** How these are sent. */
+    PartSenderOptions parts{.kind = BodyKind::Request,
+                            .maxQueuedBytesPerLink = 256 * 1024,
+                            .blockedLinkPeriod = std::chrono::milliseconds(10)};
+    /** Counts response bodies that arrive in parts; null for none. */
+    std::shared_ptr<ByteAccount> account;
 };
 
 /**
@@ -41,12 +51,16 @@
         bool idempotent = false;
         /** A result whose body arrives in parts, with the parts received so far. */
         std::unique_ptr<WorkResult> partialResult;
-        std::uint64_t bodyBytes = 0; ///< Size of that body when it is complete.
+        std::string body;
+        std::shared_ptr<ByteLease> lease; ///< For the body, once there is room for it.
+        SteadyTime resultAt;              ///< When the result without its body was received.
+        std::uint64_t bodyBytes = 0;      ///< Size of that body when it is complete.
     };
 
     RemoteCallClientOptions m_options;
     FleetNetwork &m_network;
     TimerService &m_timers;
+    PartSender m_parts; ///< Of request bodies.
     std::unordered_map<std::uint64_t, Call> m_calls;
     std::unordered_map<std::string, std::uint32_t> m_outstandingByNode;
     std::uint64_t m_lastCallId = 0;
@@ -58,6 +72,15 @@
     /** Returns whether a call must fail. Probes its node if that has sent nothing lately. */
     bool hasTimedOut(const Call &call);
     void sendCancel(const std::string &node, std::uint64_t call);
+    /** Identifies the transfer of a call's request body. */
+    CallKey transferKey(const std::string &node, std::uint64_t call) const;
+    /** Returns the result of a call that its owner does not answer. */
+    WorkResult lostResult(const std::string &node, std::uint64_t call);
+    /**
+     * Takes room for a body that follows in parts, and asks for a long one. It is tried again with
+     * each check. Returns false if there is none now.
+     */
+    bool makeRoom(std::uint64_t id, Call &call);
     /** Fails a call that its owner does not answer, and cancels it there. */
     void giveUp(std::uint64_t call);
     void finish(std::uint64_t call, const WorkResult &result);
--- a/modules/forwarding/forwarder.cpp
+++ b/modules/forwarding/forwarder.cpp
@@ -188,8 +188,7 @@
             .triedNodes = request.triedNodes,
             .ownDomainOnly =
                     triedOwnDomain
-                    && request.otherDomainAttempts >= m_options.otherDomainAttemptsAfterOwn,
-            .ownNodeOnly = request.request.body.size() > m_options.maxBodyBytesOverLink};
+                    && request.otherDomainAttempts >= m_options.otherDomainAttemptsAfterOwn};
 }
 
 std::optional<OwnerCandidate> Forwarder::chooseOwner(Request &request)
--- a/modules/forwarding/forwarder.h
+++ b/modules/forwarding/forwarder.h
@@ -32,11 +32,6 @@
     std::uint64_t randomSeed = 0;
     /** Mean size from which the responses of a route wait for others on the owner's link. */
     std::size_t largeResponseBytes = 8 * 1024;
-    /**
-     * A longer body is not sent to owners on other nodes: their end of the link would refuse the
-     * frame and close the link, with the messages of other requests on it.
-     */
-    std::size_t maxBodyBytesOverLink = 7 * 1024 * 1024;
     /** Maximum number of owners asked per request. Refusals put no load on a backend server. */
     std::uint32_t maxOwnerAttempts = 4;
     /**
--- a/modules/forwarding/owner_directory.cpp
+++ b/modules/forwarding/owner_directory.cpp
@@ -41,8 +41,6 @@
         return "tried";
     case Exclusion::OtherDomain:
         return "in another failure domain";
-    case Exclusion::OtherNode:
-        return "request is too long for a link";
     }
     return "";
 }
@@ -69,8 +67,6 @@
     if (std::find(query.triedNodes.begin(), query.triedNodes.end(), entry.node)
         != query.triedNodes.end())
         return Exclusion::Tried;
-    if (entry.peer != nullptr && query.ownNodeOnly)
-        return Exclusion::OtherNode;
     if (entry.peer != nullptr && entry.peer->links.empty())
         return Exclusion::Unreachable;
     if (entry.peer != nullptr && entry.peer->silent)
--- a/modules/forwarding/owner_directory.h
+++ b/modules/forwarding/owner_directory.h
@@ -19,7 +19,6 @@
     const VersionChoice &version;
     const std::vector<std::string> &triedNodes; ///< Nodes that were asked already.
     bool ownDomainOnly = false; ///< Whether only the own failure domain is considered.
-    bool ownNodeOnly = false;   ///< Whether only this node is considered.
 };
 
 /** Finds the owners of a service on this node and its peers, by the status that each reported. */
@@ -39,7 +38,6 @@
         OtherVersion,
         Tried,
         OtherDomain, ///< In another failure domain while only the own one is considered.
-        OtherNode,   ///< On another node while only this one is considered.
     };
     struct Entry
     {
--- a/node/mesh_metrics.cpp
+++ b/node/mesh_metrics.cpp
@@ -56,7 +56,9 @@
     appendMetric("requests_run_ahead_total", sources.requestsRunAhead);
     appendMetric("responses_buffered_bytes", sources.bufferedResponseBytes);
     appendMetric("held_bytes", sources.account.bytes());
+    appendMetric("held_bytes_limit", sources.account.limit());
     appendMetric("holders_evicted_total", sources.account.evictions());
+    appendMetric("held_refusals_total", sources.account.refusals());
     appendMetric("requests_open", sources.openRequests);
     appendMetric("calls_orphaned_total", sources.orphanedCalls);
     appendMetric("crash_suspects", sources.crashSuspects);
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include <glib-unix.h>
+#include <malloc.h>
 #include <sys/resource.h>
 #include <sys/stat.h>
 #include <sys/sysinfo.h>
@@ -62,16 +63,20 @@
 constexpr std::chrono::milliseconds GraceMargin{400};
 // Requests that are still open this long before the process ends are answered as they stand.
 constexpr std::chrono::milliseconds LastAnswerTime{150};
-// File descriptors that are not for callers: links, backend server, log, listeners and files.
-constexpr std::uint32_t ReservedDescriptors = 1'200;
 // Share of the caller connections that are kept alive. The rest is for callers that were told to
 // retry, as these open new connections.
 constexpr double KeepAliveShare = 0.8;
 // Share of the VM's link for large responses to other nodes. The rest is for all other messages.
 constexpr double LargeResponseShare = 0.92;
 constexpr std::size_t BytesPerMegabyte = 1024UL * 1024UL;
-// A fifth of the files for links; mostly, half of them are for callers.
+constexpr std::size_t MaxMemoryBytes = 1024 * BytesPerMegabyte; ///< More of it is not used.
+// Parts of the files for links, for the control address, and for readiness and metrics each.
 constexpr std::uint32_t LinkFileParts = 5;
+constexpr std::uint32_t ControlFileParts = 16;
+constexpr std::uint32_t ProbeFileParts = 32;
+// Part of the files for connections to the backend server and the store, listeners and logs.
+constexpr std::uint32_t OwnFileParts = 4;
+constexpr std::uint32_t MaxOwnFiles = 200;
 constexpr double BytesPerMegabit = 125'000.0;
 // A call to the platform that got no response may still take effect this much later.
 constexpr std::chrono::milliseconds LateEffectTime{12'000};
@@ -126,19 +131,38 @@
     return memoryShare(32, HttpServerOptions().maxTotalBufferedResponseBytes);
 }
 
-/** Returns how many bytes of request bodies the node holds, for callers and as an owner each. */
-std::size_t maxHeldBodyBytes()
-{
-    // A body is copied up to eight times on its way.
-    return memoryShare(16, HttpServerOptions().maxHeldBodyBytes);
-}
-
-/** Returns how many bytes of unread responses and unfinished frames the node holds. */
+/**
+ * Returns how many bytes of messages the node holds for its peers: what remains is for itself, the
+ * tables, and what the allocator cannot use.
+ */
 std::size_t maxHeldBytes(const MeshSettings &settings)
 {
+    constexpr std::size_t HeldParts = 5;
+    constexpr std::size_t MemoryParts = 8;
     if (settings.heldMegabytes > 0)
         return settings.heldMegabytes * BytesPerMegabyte;
-    return memoryShare(4, ByteAccountOptions().limit);
+    return memoryShare(MemoryParts, MaxMemoryBytes) * HeldParts;
+}
+
+std::uint32_t maxLinks(const MeshSettings &settings)
+{
+    return std::clamp(settings.maxFiles / LinkFileParts, 32U, 1'024U);
+}
+
+std::uint32_t maxLocalConnections(const MeshSettings &settings, std::uint32_t parts)
+{
+    return std::clamp(settings.maxFiles / parts, 8U, 128U);
+}
+
+/** Returns how many connections callers may have: all files that nothing else can use. */
+std::uint32_t maxCallerConnections(const MeshSettings &settings)
+{
+    constexpr std::uint32_t MinCallers = 64;
+    const std::uint32_t others = maxLinks(settings)
+                                 + maxLocalConnections(settings, ControlFileParts)
+                                 + 2 * maxLocalConnections(settings, ProbeFileParts)
+                                 + std::min(settings.maxFiles / OwnFileParts, MaxOwnFiles);
+    return settings.maxFiles > others + MinCallers ? settings.maxFiles - others : MinCallers;
 }
 
 /**
@@ -148,7 +172,7 @@
 HttpServerOptions localServerOptions(const MeshSettings &settings, std::uint32_t parts,
                                      const std::shared_ptr<ByteAccount> &account)
 {
-    return HttpServerOptions{.maxConnections = std::clamp(settings.maxFiles / parts, 8U, 128U),
+    return HttpServerOptions{.maxConnections = maxLocalConnections(settings, parts),
                              .replacesSilentConnections = true,
                              .account = account,
                              .serveClosedCallers = true};
@@ -158,11 +182,9 @@
                                       const Forwarder &forwarder,
                                       const std::shared_ptr<ByteAccount> &account)
 {
-    const std::uint32_t maxConnections = std::max(
-            64U, settings.maxFiles > ReservedDescriptors ? settings.maxFiles - ReservedDescriptors
-                                                         : settings.maxFiles / 2);
+    const std::uint32_t maxConnections = maxCallerConnections(settings);
     return HttpServerOptions{.maxBodyBytes = limits.maxBodyBytes,
-                             .maxHeldBodyBytes = maxHeldBodyBytes(),
+                             .maxHeldBodyBytes = account->limit(),
                              .maxHeaderBytes = limits.maxHeaderBytes,
                              .headerTimeout = limits.headerTimeout,
                              .idleTimeout = limits.idleTimeout,
@@ -221,10 +243,10 @@
     GMainLoop *loop = g_main_loop_new(nullptr, FALSE);
     EpollLoop &timers = EpollLoop::instance();
     LoopMonitor loopMonitor;
+    std::shared_ptr<ByteAccount> account;
     BeastHttpClient storeHttp;
     BeastHttpClient backendHttp;
     StoreClient storeClient;
-    std::shared_ptr<ByteAccount> account;
     WebsocketLinkTransport transport;
     FleetNetwork network;
     PoisonRegistry poison;
@@ -350,10 +372,13 @@
 }
 
 /** Returns the options for the calls of other nodes to the backend server of this VM. */
-CallServerOptions workServerOptions(const MeshSettings &settings)
+CallServerOptions workServerOptions(const MeshSettings &settings,
+                                    const std::shared_ptr<ByteAccount> &account)
 {
     const double bytesPerSecond = settings.linkMegabits * BytesPerMegabit * LargeResponseShare;
-    return CallServerOptions{.parts = {.bytesPerSecond = bytesPerSecond},
+    return CallServerOptions{.maxStoredBytes = memoryShare(16, CallServerOptions().maxStoredBytes),
+                             .account = account,
+                             .parts = {.bytesPerSecond = bytesPerSecond, .account = account},
                              .budget = {.bytesPerSecond = bytesPerSecond}};
 }
 
@@ -365,18 +390,17 @@
     , settingsTime(modificationTime(file))
     , randomSeed(combineHash(stableHash(settings.node), incarnation))
     , loopMonitor(LoopMonitorOptions{}, timers)
+    , account(std::make_shared<ByteAccount>(ByteAccountOptions{.limit = maxHeldBytes(settings)}))
     , storeHttp(BeastHttpClientOptions{.localAddress = settings.links.address,
                                        .dropIdleAfterTimeout = true})
-    , backendHttp(BeastHttpClientOptions{
-              .localAddress = settings.links.address,
-              .maxReceivedBytes = memoryShare(8, BeastHttpClientOptions().maxReceivedBytes),
-              .maxIdleConnectionsPerServer = 64})
+    , backendHttp(BeastHttpClientOptions{.localAddress = settings.links.address,
+                                         .maxBodyBytes = account->limit(),
+                                         .maxReceivedBytes = account->limit(),
+                                         .account = account,
+                                         .maxIdleConnectionsPerServer = 64})
     , storeClient(StoreClientOptions{.server = settings.store}, storeHttp)
-    , account(std::make_shared<ByteAccount>(ByteAccountOptions{.limit = maxHeldBytes(settings)}))
     , transport(LinkTransportOptions{
-              .listen = settings.links,
-              .maxLinks = std::clamp(settings.maxFiles / LinkFileParts, 32U, 1'024U),
-              .account = account})
+              .listen = settings.links, .maxLinks = maxLinks(settings), .account = account})
     , network(FleetNetworkOptions{.self = {.node = settings.node,
                                            .domain = settings.domain,
                                            .linkEndpoint = settings.advertisedLinks,
@@ -392,10 +416,10 @@
                                 .service = settings.service,
                                 .headers = wire::headerNames(),
                                 .coldFactor = settings.coldFactor,
-                                .maxHeldBodyBytes = maxHeldBodyBytes()},
+                                .maxHeldBodyBytes = account->limit()},
             backendHttp, timers, poison, *this)
-    , callServer(workServerOptions(settings), network, timers, owner)
-    , remoteCallClient(RemoteCallClientOptions{}, network, timers)
+    , callServer(workServerOptions(settings, account), network, timers, owner)
+    , remoteCallClient(RemoteCallClientOptions{.account = account}, network, timers)
     , rolloutRegister(storeClient)
     , rollouts(RolloutControllerOptions{.node = settings.node,
                                         .randomSeed = randomSeed,
@@ -413,9 +437,9 @@
                         knowledge, [this] { return keyCheck.limitsAge(); })
     , discovery(NodeDiscoveryOptions{.randomSeed = randomSeed}, storeClient, network, timers)
     , callerServer(callerServerOptions(settings, CallerLimits(), forwarder, account))
-    , readinessServer(localServerOptions(settings, 32, account))
-    , controlServer(localServerOptions(settings, 16, account))
-    , metricsServer(localServerOptions(settings, 32, account))
+    , readinessServer(localServerOptions(settings, ProbeFileParts, account))
+    , controlServer(localServerOptions(settings, ControlFileParts, account))
+    , metricsServer(localServerOptions(settings, ProbeFileParts, account))
 {
     forwarder.setKeyCheck(&keyCheck);
     if (settings.usage.platform.isValid())
@@ -700,9 +724,23 @@
     g_main_loop_quit(loop);
 }
 
+namespace {
+
+/** Makes the allocator return the memory of each long body to the system once it is freed. */
+void returnLongBlocks()
+{
+    // Without a fixed threshold glibc raises it up to 32 MB, and freed blocks below it stay in the
+    // heap.
+    constexpr int MinMappedBytes = 1024 * 1024;
+    mallopt(M_MMAP_THRESHOLD, MinMappedBytes);
+}
+
+} // namespace
+
 MeshNode::MeshNode(const MeshSettings &settings, const std::string &settingsFile)
     : m_components(std::make_unique<Components>(settings, settingsFile))
 {
+    returnLongBlocks();
 }
 
 MeshNode::~MeshNode() = default;
--- a/servers/http_message.cpp
+++ b/servers/http_message.cpp
@@ -16,6 +16,22 @@
     return {};
 }
 
+std::size_t requestCost(std::size_t headBytes, std::size_t headerLines)
+{
+    constexpr std::size_t BytesPerRequest = 4 * 1024;
+    constexpr std::size_t CopiesOfHead = 4;
+    constexpr std::size_t BytesPerLine = CopiesOfHead * sizeof(HttpHeader);
+    return BytesPerRequest + CopiesOfHead * headBytes + BytesPerLine * headerLines;
+}
+
+std::size_t requestCost(const HttpRequest &request)
+{
+    std::size_t headBytes = request.target.size();
+    for (const HttpHeader &header : request.headers)
+        headBytes += header.name.size() + header.value.size();
+    return requestCost(headBytes, request.headers.size());
+}
+
 bool isHopByHopHeader(std::string_view name)
 {
     static constexpr std::array<std::string_view, 9> Names = {
--- a/servers/http_message.h
+++ b/servers/http_message.h
@@ -2,10 +2,15 @@
 #define SERVERS_HTTP_MESSAGE_H
 
 #include <chrono>
+#include <cstddef>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "core/byte_account.h"
+#include "core/shared_bytes.h"
+
 namespace jacinthshift {
 
 struct HttpHeader
@@ -20,9 +25,11 @@
     std::string method = "GET";
     std::string target = "/"; ///< The path and the query.
     std::vector<HttpHeader> headers;
-    std::string body;
-    /** How long it may have waited before a server read it. Not a part of the message. */
+    SharedBytes body;
+    // The rest is not part of the message.
+    /** How long it may have waited before a server read it. */
     std::chrono::milliseconds waited{0};
+    std::shared_ptr<const ByteLease> lease; ///< The process's room for it; null if not counted.
 };
 
 /** A complete HTTP response. */
@@ -30,9 +37,17 @@
 {
     int status = 200;
     std::vector<HttpHeader> headers;
-    std::string body;
+    SharedBytes body;
+    std::shared_ptr<const ByteLease> lease; ///< As in HttpRequest.
 };
 
+/**
+ * Returns the bytes that a request takes in the process besides its body, while it is forwarded:
+ * each header line is an object in the parser, and in each place that the request passes.
+ */
+std::size_t requestCost(std::size_t headBytes, std::size_t headerLines);
+std::size_t requestCost(const HttpRequest &request);
+
 /** Returns the value of the first header with a name, ignoring case, or an empty string. */
 std::string_view findHeader(const std::vector<HttpHeader> &headers, std::string_view name);
 
--- a/servers/http_server.h
+++ b/servers/http_server.h
@@ -44,7 +44,11 @@
      * a second. For servers with few connections, whose clients send as soon as they connect.
      */
     bool replacesSilentConnections = false;
-    std::shared_ptr<ByteAccount> account; ///< Counts unread responses; null for none.
+    /**
+     * Counts requests from when their head is complete until they are forwarded and answered,
+     * unread responses and unparsed input; null for none. A request without room is answered 503.
+     */
+    std::shared_ptr<ByteAccount> account;
     /** With this many connections or more, each response closes its connection. */
     std::size_t maxKeepAliveConnections = 8'000;
     /**
