--- a/node/mesh_settings.h
+++ b/node/mesh_settings.h
@@ -51,7 +51,7 @@
      */
     std::chrono::milliseconds revokeTime{0};
     bool strictRevoke = false; ///< revokeTime holds without contact to the store as well.
-    /** What the process may hold for its peers, in MB; 0 for a quarter of the VM's memory. */
+    /** What the process may hold for its peers, in MB; 0 for 5/8 of the VM's memory. */
     std::uint32_t heldMegabytes = 0;
     std::uint32_t maxFiles = 1'024; ///< File descriptors that the process may open.
     double processorShare = 1.0;    ///< Processor time that the process may use, in cores.
