--- a/drivers/websocket/websocket_link_transport.cpp
+++ b/drivers/websocket/websocket_link_transport.cpp
@@ -59,7 +59,8 @@
         if (account == nullptr || closed)
             return;
         const bool hasOutput = output.size() >= MinCountedOutputBytes;
-        const std::size_t unfinished = std::max(unfinishedBytes, expandedBytes);
+        // The library's buffer doubles as it grows.
+        const std::size_t unfinished = 2 * std::max(unfinishedBytes, expandedBytes);
         if (unfinished == 0 && !hasOutput) {
             account->release(*this);
             return;
