--- a/review/lib-2/mesh_lab.py
+++ b/review/lib-2/mesh_lab.py
@@ -346,6 +346,7 @@
 
     address = "127.0.0.1"
     host = "shop.example"
+    limits = {"headerTimeoutS": 5, "idleTimeoutS": 30}
 
     def __init__(self, folder):
         self.record = Record(folder)
@@ -378,8 +379,7 @@
         config = {"version": version, "routes": routes,
                   "services": [{"name": name, "healthPath": "/health", "maxConnections": 130}
                                for name in services],
-                  "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1048576,
-                             "headerTimeoutS": 5, "idleTimeoutS": 30}}
+                  "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1048576, **self.limits}}
         await self.store.put("keyed.op", "config", json.dumps(config).encode())
         self.record.line(f"the operator's configuration {version} is acknowledged")
 
