--- a/review/lib-2/mesh_lab.py
+++ b/review/lib-2/mesh_lab.py
@@ -234,6 +234,7 @@
         self.born = int(time.time() * 1000)
         self.state, self.sequence = "ready", 0
         self.runs = []  # (request id, method, path, headers, body)
+        self.status_of = lambda _server, _request, _path: 200
 
     async def start(self):
         self.listener = await asyncio.start_server(self._serve, self.lab.address, self.port)
@@ -271,11 +272,14 @@
                 seconds, size = self.work(self, request, path)
                 await asyncio.sleep(seconds)
                 content = (request + ".").encode() * (size // (len(request) + 1) + 1)
+                status = self.status_of(self, request, path)
                 writer.write(answer_bytes(
-                    200, [("Request-Id", request), ("Server-Seal", f"{self.id}.{request}.{size}"),
-                          ("Server-Load", "1,0,18")], content[:size]))
+                    status, [("Request-Id", request),
+                             ("Server-Seal", f"{self.id}.{request}.{status}.{size}"),
+                             ("Server-Load", "1,0,18")], content[:size]))
                 await writer.drain()
-                self.lab.record.line(f"server {self.id} has answered {request!r} with {size} bytes")
+                self.lab.record.line(f"server {self.id} has answered {request!r} with {status}, "
+                                     f"{size} bytes")
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
             pass
         finally:
