--- a/review/lib-2/mesh_lab.py
+++ b/review/lib-2/mesh_lab.py
@@ -234,26 +234,44 @@
         self.born = int(time.time() * 1000)
         self.state, self.sequence = "ready", 0
         self.runs = []  # (request id, method, path, headers, body)
+        self.arrivals = []  # (request id, time)
+        self.cut = []  # Requests that ran when the server exited.
+        self.connections, self.running = set(), {}
         self.status_of = lambda _server, _request, _path: 200
 
     async def start(self):
         self.listener = await asyncio.start_server(self._serve, self.lab.address, self.port)
         self.beats = asyncio.ensure_future(self._beat())
 
+    def next_check_in(self):
+        self.sequence += 1
+        return json.dumps({
+            "address": f"{self.lab.address}:{self.port}", "born": self.born,
+            "info": {"service": self.service, "version": "v1", "zone": self.node.zone,
+                     "slots": 18},
+            "status": {"state": self.state, "sequence": self.sequence,
+                       "coldRemainingS": 0}}).encode()
+
+    def farewell(self):
+        return json.dumps({"born": self.born}).encode()
+
     async def _beat(self):
         while True:
-            self.sequence += 1
-            body = json.dumps({
-                "address": f"{self.lab.address}:{self.port}", "born": self.born,
-                "info": {"service": self.service, "version": "v1", "zone": self.node.zone,
-                         "slots": 18},
-                "status": {"state": self.state, "sequence": self.sequence,
-                           "coldRemainingS": 0}}).encode()
             await call(self.lab.address, self.node.ports["control"], "PUT",
-                       f"/-/instances/{self.id}", [("Content-Type", "application/json")], body, 1.0)
+                       f"/-/instances/{self.id}", [("Content-Type", "application/json")],
+                       self.next_check_in(), 1.0)
             await asyncio.sleep(1.0)
 
+    async def exit(self):
+        """Ends the server, with the requests that it runs."""
+        self.lab.record.line(f"server {self.id} exits")
+        self.cut = list(self.running.values())
+        self.listener.close()
+        for connection in list(self.connections):
+            connection.transport.abort()
+
     async def _serve(self, reader, writer):
+        self.connections.add(writer)
         try:
             while (head := await read_head(reader)) is not None:
                 body = await read_body(reader, head[1])
@@ -265,6 +283,8 @@
                 if first(head[1], "target-instance", self.id) != self.id:
                     writer.write(answer_bytes(421, [("Request-Id", request)]))
                     continue
+                self.arrivals.append((request, time.monotonic()))
+                self.running[writer] = request
                 self.runs.append((request, method, path, head[1], body))
                 self.lab.record.line(f"server {self.id} runs {request!r}: {method} {path}, "
                                      f"body of {len(body)} bytes, Caller-Service "
@@ -272,6 +292,7 @@
                 seconds, size = self.work(self, request, path)
                 await asyncio.sleep(seconds)
                 content = (request + ".").encode() * (size // (len(request) + 1) + 1)
+                del self.running[writer]
                 status = self.status_of(self, request, path)
                 writer.write(answer_bytes(
                     status, [("Request-Id", request),
@@ -283,6 +304,8 @@
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError, ValueError):
             pass
         finally:
+            self.running.pop(writer, None)
+            self.connections.discard(writer)
             writer.close()
 
 
