--- a/review/lib-2/mesh_lab.py
+++ b/review/lib-2/mesh_lab.py
@@ -444,7 +444,7 @@
             lab.record.line("result: " + ("broken" if breaches else "kept"))
             print("result:", "broken" if breaches else "kept")
             return BROKEN if breaches else KEPT
-        except (CannotRun, asyncio.TimeoutError, OSError) as error:
+        except Exception as error:  # Whatever it is, the case has shown nothing.
             lab.record.line(f"could not run: {error!r}")
             print("could not run:", repr(error))
             return COULD_NOT_RUN
