--- a/review/lib-2/mesh_lab.py
+++ b/review/lib-2/mesh_lab.py
@@ -8,6 +8,7 @@
 import base64
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -41,16 +42,27 @@
         self._file.close()
 
 
+# Below the ports that the system gives to outgoing connections. A node binds its ports some time
+# after they were chosen, so none is given out twice.
+LISTENING_PORTS = range(20_000, 32_000)
+_given_ports = set()
+
+
 def free_ports(address, count):
-    sockets = []
-    for _ in range(count):
-        probe = socket.socket()
-        probe.bind((address, 0))
-        sockets.append(probe)
-    ports = [probe.getsockname()[1] for probe in sockets]
-    for probe in sockets:
-        probe.close()
-    return ports
+    ports = []
+    for port in random.sample(LISTENING_PORTS, len(LISTENING_PORTS)):
+        if len(ports) == count:
+            return ports
+        if port in _given_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind((address, port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        ports.append(port)
+    raise CannotRun("there are not enough free ports")
 
 
 # The template of the settings, as DEPLOY.md describes it.
@@ -371,11 +383,12 @@
 class Lab:
     """A small mesh: the store, the nodes and their servers."""
 
-    address = "127.0.0.1"
     host = "shop.example"
     limits = {"headerTimeoutS": 5, "idleTimeoutS": 30}
 
     def __init__(self, folder):
+        # Its own loopback address, so that labs that run side by side do not meet.
+        self.address = ".".join(["127"] + [str(random.randint(1, 254)) for _ in range(3)])
         self.record = Record(folder)
         self.folder = tempfile.mkdtemp(prefix="mesh-lab-")
         self.store = Store(self)
