Stop: deliver responses that callers are still reading

What callers saw: a node that got SIGTERM ended after 2.7 s, 3.3 s before its grace time was over, while a caller was reading a response of 460 KB at 70 KB/s.

Cause: the process ended when no request was without a response. A response counted as done when it was handed to its connection; what the connection and the kernel still held of it was in no count. Evidence: NodeStopping had requests=0 and work=0 while 178,220 bytes of the response were in the output, NodeStopped had cut_off=0.

Change: GracefulShutdown decides in one place when the process may end, from tasks with a time limit each, and says in ShutdownWaiting, NodeStopped and a metric what it waits for and what it cuts off. The server reports connections with bytes that callers have not acknowledged, in its output, behind an earlier response or in the kernel, until the deadline of the caller. While it stops, it closes a connection only after its caller has, or after a second, so that unread input does not reset it.

Why it works: the process cannot end before the last byte is acknowledged, unless the caller's deadline or 0.1 s before the end of the grace time comes first.

--- a/core/event.cpp
+++ b/core/event.cpp
@@ -15,6 +15,7 @@
             {Event::SettingsRefused, "SettingsRefused", EventLevel::Error, false},
             {Event::SettingsReloaded, "SettingsReloaded", EventLevel::Info, false},
             {Event::LoopDelayed, "LoopDelayed", EventLevel::Warning, true},
+            {Event::ShutdownWaiting, "ShutdownWaiting", EventLevel::Info, false},
             {Event::ConfigInstalled, "ConfigInstalled", EventLevel::Info, false},
             {Event::RecordRejected, "RecordRejected", EventLevel::Warning, false},
             {Event::RecordMalformed, "RecordMalformed", EventLevel::Error, true},
--- a/core/event.h
+++ b/core/event.h
@@ -22,6 +22,7 @@
     SettingsRefused = 1010,
     SettingsReloaded = 1011,
     LoopDelayed = 1012,
+    ShutdownWaiting = 1013,
 
     ConfigInstalled = 2001,
     RecordRejected = 2002,
--- a/drivers/beast/beast_http_server.cpp
+++ b/drivers/beast/beast_http_server.cpp
@@ -43,6 +43,18 @@
     m_state->keepAliveDisabled = true;
 }
 
+UndeliveredResponses BeastHttpServer::undeliveredResponses() const
+{
+    const SteadyTime now = EpollLoop::instance().now();
+    UndeliveredResponses undelivered;
+    for (const auto &[raw, connection] : m_state->connections) {
+        const std::optional<std::size_t> bytes = connection->undeliveredBytes(now);
+        undelivered.connections += bytes ? 1 : 0;
+        undelivered.bytes += bytes.value_or(0);
+    }
+    return undelivered;
+}
+
 void BeastHttpServer::setOptions(const HttpServerOptions &options)
 {
     m_state->options = options;
--- a/drivers/beast/beast_http_server.h
+++ b/drivers/beast/beast_http_server.h
@@ -21,12 +21,14 @@
 
     absl::Status listen(const Endpoint &endpoint, Handler handler) override;
     void stopListening() override;
+    UndeliveredResponses undeliveredResponses() const override;
 
     /** Replaces the options; a request that is being read keeps its size limits. */
     void setOptions(const HttpServerOptions &options);
     /**
      * Closes each connection after the response to the last of its requests in flight, or after its
-     * next response.
+     * next response. It is closed once its caller has closed its end or a time limit has passed, so
+     * that undeliveredResponses() knows of it until the response has arrived.
      */
     void disableKeepAlive();
     std::size_t connectionCount() const;
--- a/drivers/beast/beast_server_connection.cpp
+++ b/drivers/beast/beast_server_connection.cpp
@@ -34,6 +34,8 @@
 constexpr std::size_t MaxIdleInputCapacity = 4 * 1024;
 /** How long the rest of the input is read, so that its caller can read the last response. */
 constexpr std::chrono::milliseconds LingerTime{1'000};
+/** How long callers wait for a response that does not say so. */
+constexpr std::chrono::milliseconds DefaultCallerWait{2'000};
 
 constexpr int StatusBadRequest = 400;
 constexpr int StatusTimeout = 408;
@@ -140,7 +142,7 @@
         return false;
     const SteadyTime::duration age = now - m_timeoutStart;
     if (m_lingering)
-        return age > LingerTime;
+        return age > LingerTime && (now >= m_deliverBy || m_socket.unacknowledgedBytes() == 0);
     const std::shared_ptr<BeastServerState> state = m_state.lock();
     if (state == nullptr)
         return false;
@@ -255,7 +257,7 @@
             return true;
         if (!writeOutput())
             return false;
-        outputWritten();
+        outputWritten(state);
     }
     return false;
 }
@@ -292,15 +294,17 @@
     return true;
 }
 
-void BeastServerConnection::outputWritten()
+void BeastServerConnection::outputWritten(const BeastServerState &state)
 {
     m_outputIsNew = true;
     m_timeoutStart = EpollLoop::instance().now();
     if (!m_closesAfterOutput)
         return;
     // Closing a socket with unread input resets the connection, which may destroy the response.
-    const bool hasInput = unparsedBytes() > 0 || m_nextRequest.has_value();
-    if (!m_lingersAfterOutput && !hasInput) {
+    const bool hasInput =
+            unparsedBytes() > 0 || m_nextRequest.has_value() || !m_socket.hasNoPendingInput();
+    // While the process stops, it has to know when the response has arrived.
+    if (!m_lingersAfterOutput && !hasInput && !state.keepAliveDisabled) {
         close();
         return;
     }
@@ -513,6 +517,7 @@
     HttpResponse response{.status = status};
     if (status == StatusUnavailable)
         response.headers.push_back({"Retry-After", "1"});
+    awaitDelivery(response);
     m_queue.addResponse(serializeResponse(response, true));
 }
 
@@ -549,6 +554,25 @@
     return delay.count() > 0 ? delay + accepting : delay;
 }
 
+void BeastServerConnection::awaitDelivery(const HttpResponse &response)
+{
+    const SteadyTime until =
+            EpollLoop::instance().now() + response.callerWait.value_or(DefaultCallerWait);
+    m_deliverBy = std::max(m_deliverBy, until);
+}
+
+std::optional<std::size_t> BeastServerConnection::undeliveredBytes(SteadyTime now) const
+{
+    if (m_closed)
+        return std::nullopt;
+    const bool isClosing = m_lingering && now - m_timeoutStart <= LingerTime;
+    if (now >= m_deliverBy && !isClosing)
+        return std::nullopt;
+    const std::size_t bytes = m_output.size() - m_output.written() + m_queue.bufferedBytes()
+                              + m_socket.unacknowledgedBytes();
+    return bytes > 0 || isClosing ? std::optional(bytes) : std::nullopt;
+}
+
 void BeastServerConnection::updateEstimate(std::size_t responseBytes)
 {
     // Follows a larger response at once, and forgets a single large one after a few small ones.
@@ -562,6 +586,7 @@
     if (state == nullptr || m_closed || !m_queue.isOpen(number))
         return;
     --state->openRequests;
+    awaitDelivery(response);
     if (m_queue.isFirst(number) && m_output.empty()) {
         m_closesAfterOutput = closesAfterFirst(*state);
         releaseBody(*state, m_queue.removeFirst());
--- a/drivers/beast/beast_server_connection.h
+++ b/drivers/beast/beast_server_connection.h
@@ -57,6 +57,7 @@
     bool m_closesAfterOutput = false; ///< m_output ends with the last response.
     bool m_lingersAfterOutput = false;
     bool m_lingering = false; ///< All is written; the rest of the input is read and dropped.
+    SteadyTime m_deliverBy;   ///< Until when callers wait for the responses so far.
     bool m_processing = false;
     bool m_closed = false;
     std::shared_ptr<ByteLease> m_lease; ///< For the request that is being read.
@@ -85,7 +86,9 @@
     bool closesAfterFirst(const BeastServerState &state);
     /** Returns true when the whole output is written. */
     bool writeOutput();
-    void outputWritten();
+    void outputWritten(const BeastServerState &state);
+    /** Records how long the caller of a response waits for it. */
+    void awaitDelivery(const HttpResponse &response);
 
     /** Passes the next request to the handler. Returns false if there is none or it must wait. */
     bool acceptRequest(BeastServerState &state);
@@ -142,6 +145,11 @@
      * has only read a part.
      */
     void evict() override;
+    /**
+     * Returns the bytes of responses that the caller has not acknowledged, or nullopt if it has
+     * received all of them or does not wait for them any more.
+     */
+    std::optional<std::size_t> undeliveredBytes(SteadyTime now) const;
     bool isSilent() const { return !m_hasReceived; }
     /** Returns when the connection became idle, or was accepted. */
     SteadyTime timeoutStart() const { return m_timeoutStart; }
--- a/drivers/beast/response_queue.cpp
+++ b/drivers/beast/response_queue.cpp
@@ -88,6 +88,14 @@
     return bytes;
 }
 
+std::size_t ResponseQueue::bufferedBytes() const
+{
+    std::size_t bytes = 0;
+    for (const Entry &known : m_entries)
+        bytes += known.response.size();
+    return bytes;
+}
+
 std::vector<std::function<void()>> ResponseQueue::clear()
 {
     std::vector<std::function<void()>> callbacks;
--- a/drivers/beast/response_queue.h
+++ b/drivers/beast/response_queue.h
@@ -68,6 +68,8 @@
     /** Returns the bytes of the responses that wait, without those of leases. */
     std::size_t bufferedHeadBytes() const;
     std::size_t bufferedLeaseBytes() const;
+    /** Returns the bytes of the responses that wait. */
+    std::size_t bufferedBytes() const;
     bool firstIsAnswered() const { return !m_entries.empty() && m_entries.front().isAnswered; }
     /** Removes the first request, which is answered, and returns its response. */
     SerializedMessage takeFirstResponse();
--- a/drivers/soup/soup_http_server.cpp
+++ b/drivers/soup/soup_http_server.cpp
@@ -18,6 +18,17 @@
     SoupServerMessage *m_message; // Null once responded to or finished.
     std::function<void()> m_callerGone;
     gulong m_finishedHandler = 0;
+    std::shared_ptr<std::size_t> m_undelivered; ///< Counts responses that are being sent.
+
+    static void responseSent(SoupServerMessage *, gpointer data)
+    {
+        --**static_cast<std::shared_ptr<std::size_t> *>(data);
+    }
+
+    static void deleteCount(gpointer data, GClosure *)
+    {
+        delete static_cast<std::shared_ptr<std::size_t> *>(data);
+    }
 
     static void messageFinished(SoupServerMessage *, gpointer data)
     {
@@ -37,8 +48,9 @@
     }
 
 public:
-    explicit SoupHttpResponder(SoupServerMessage *message)
+    SoupHttpResponder(SoupServerMessage *message, std::shared_ptr<std::size_t> undelivered)
         : m_message(SOUP_SERVER_MESSAGE(g_object_ref(message)))
+        , m_undelivered(std::move(undelivered))
     {
         m_finishedHandler =
                 g_signal_connect(message, "finished", G_CALLBACK(messageFinished), this);
@@ -70,6 +82,10 @@
         soup_message_body_append(body, SOUP_MEMORY_COPY, response.body.data(),
                                  response.body.size());
         m_callerGone = nullptr;
+        ++*m_undelivered;
+        g_signal_connect_data(m_message, "finished", G_CALLBACK(responseSent),
+                              new std::shared_ptr<std::size_t>(m_undelivered), deleteCount,
+                              static_cast<GConnectFlags>(0));
         soup_server_message_unpause(m_message);
         releaseMessage();
     }
@@ -106,6 +122,7 @@
     HttpServerOptions options;
     GObjectPointer<SoupServer> server;
     Handler handler;
+    std::shared_ptr<std::size_t> undelivered = std::make_shared<std::size_t>(0);
 
     static bool isOversize(SoupServerMessage *message)
     {
@@ -147,7 +164,8 @@
                             gpointer data)
     {
         const State *self = static_cast<State *>(data);
-        std::shared_ptr<HttpResponder> responder = std::make_shared<SoupHttpResponder>(message);
+        std::shared_ptr<HttpResponder> responder =
+                std::make_shared<SoupHttpResponder>(message, self->undelivered);
         soup_server_message_pause(message);
         if (isOversize(message)) {
             responder->respond(HttpResponse{
@@ -191,6 +209,11 @@
     return absl::UnavailableError("cannot listen on " + endpoint.text() + ": " + owned->message);
 }
 
+UndeliveredResponses SoupHttpServer::undeliveredResponses() const
+{
+    return {.connections = *m_state->undelivered};
+}
+
 void SoupHttpServer::stopListening()
 {
     // soup_server_disconnect() would also abort requests in flight, so close only the listeners.
--- a/drivers/soup/soup_http_server.h
+++ b/drivers/soup/soup_http_server.h
@@ -22,6 +22,8 @@
 
     absl::Status listen(const Endpoint &endpoint, Handler handler) override;
     void stopListening() override;
+    /** The bytes are not known. */
+    UndeliveredResponses undeliveredResponses() const override;
 };
 
 } // namespace jacinthshift
--- a/drivers/tcp/tcp_socket.cpp
+++ b/drivers/tcp/tcp_socket.cpp
@@ -4,10 +4,12 @@
 #include <cerrno>
 
 #include <arpa/inet.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -179,6 +181,13 @@
     return poll(&descriptor, 1, 0) == 0;
 }
 
+std::size_t TcpSocket::unacknowledgedBytes() const
+{
+    int bytes = 0;
+    return ioctl(m_descriptor, SIOCOUTQ, &bytes) == 0 && bytes > 0 ? static_cast<std::size_t>(bytes)
+                                                                   : 0;
+}
+
 std::string TcpSocket::remoteAddress() const
 {
     sockaddr_in remote{};
--- a/drivers/tcp/tcp_socket.h
+++ b/drivers/tcp/tcp_socket.h
@@ -76,6 +76,8 @@
     bool hasPeerClosed() const { return m_peerClosed; }
     /** Returns whether there is nothing to read; input on an idle connection means its end. */
     bool hasNoPendingInput() const;
+    /** Returns the bytes that were written and that the peer's system has not acknowledged. */
+    std::size_t unacknowledgedBytes() const;
     /** Returns the IPv4 address of the peer, or an empty string. */
     std::string remoteAddress() const;
 };
--- a/modules/forwarding/forwarder.cpp
+++ b/modules/forwarding/forwarder.cpp
@@ -160,8 +160,10 @@
             route.targetLatency.count() > 0 ? route.targetLatency : timeout;
     std::chrono::milliseconds spent(0);
     std::int64_t deadline = 0;
+    request.callerDeadline = request.arrivedAt + timeout;
     if (parseNumber(findHeader(request.request.headers, m_options.headers.deadline), deadline)) {
         const std::chrono::milliseconds requested(std::max<std::int64_t>(deadline, 0));
+        request.callerDeadline = request.arrivedAt + requested;
         std::chrono::milliseconds &longestDeadline = m_longestDeadline[route.name];
         longestDeadline = std::max(longestDeadline, requested);
         // A caller's retry has less time left than its first attempt had.
@@ -505,6 +507,10 @@
                                         {"tries", request->ownerAttempts},
                                         {"owner", request->triedNodes.back()},
                                         {"ms", latency.count() / 1'000}});
+    const std::chrono::milliseconds callerWait =
+            remainingTime(m_timers.now(), request->callerDeadline);
+    if (callerWait.count() > 0)
+        response.callerWait = callerWait;
     request->responder->respond(response);
 }
 
--- a/modules/forwarding/forwarder.h
+++ b/modules/forwarding/forwarder.h
@@ -87,7 +87,8 @@
         bool isCallerRetry = false; ///< Inferred from its deadline; see callerRetryMargin.
         SteadyTime arrivedAt;
         SteadyTime deadline;
-        SteadyTime targetAt; ///< End of the target latency since the caller's first attempt.
+        SteadyTime callerDeadline; ///< How long the caller waits, whatever its route allows.
+        SteadyTime targetAt;       ///< End of the target latency since the caller's first attempt.
         std::string attemptOutcomes; ///< Outcome of each attempt, for the log line of a failure.
         std::string excludedOwners;  ///< Why other owners could not be asked.
         std::vector<std::string> triedNodes;
--- a/node/mesh_metrics.cpp
+++ b/node/mesh_metrics.cpp
@@ -23,6 +23,20 @@
     }
 }
 
+/** Appends for how long the process has been stopping, and what it waits for. */
+void appendShutdownMetrics(std::string &text, const GracefulShutdown &shutdown)
+{
+    if (!shutdown.isActive())
+        return;
+    text += joinText("jacinthshift_shutdown_ms ", shutdown.elapsed().count(), "\n");
+    for (const ShutdownTask &task : shutdown.tasks()) {
+        const UnfinishedWork work = task.unfinished();
+        const std::string label = joinText("{part=\"", task.name, "\"} ");
+        text += joinText("jacinthshift_shutdown_unfinished", label, work.items,
+                         "\njacinthshift_shutdown_unfinished_bytes", label, work.bytes, "\n");
+    }
+}
+
 } // namespace
 
 std::string meshMetricsText(const MeshMetricsSources &sources)
@@ -74,6 +88,7 @@
     appendMetric("backend_pace_percent", backend.pacePercent);
     appendMetric("backend_failures_per_thousand", backend.failuresPerThousand);
     appendLinkMetrics(text, network);
+    appendShutdownMetrics(text, sources.shutdown);
     const LogLosses losses = logLosses();
     appendMetric("log_lines_limited_total", losses.rateLimited);
     appendMetric("log_lines_dropped_total", losses.dropped);
--- a/node/mesh_metrics.h
+++ b/node/mesh_metrics.h
@@ -12,6 +12,7 @@
 #include "modules/feed/table_follower.h"
 #include "modules/fleet/fleet_network.h"
 #include "modules/forwarding/traffic_metrics.h"
+#include "node/graceful_shutdown.h"
 #include "node/loop_monitor.h"
 
 namespace jacinthshift {
@@ -38,6 +39,7 @@
     std::uint64_t orphanedCalls = 0;
     std::size_t crashSuspects = 0;
     bool reportsUsage = false; ///< Whether this node holds the duty of reporting usage.
+    const GracefulShutdown &shutdown;
     const ByteAccount &account;
     /** Calls to the platform's store, by outcome. */
     const std::map<std::string, std::uint64_t> &storeCalls;
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -27,6 +27,7 @@
 #include "modules/rollout/rollout_controller.h"
 #include "modules/usage/usage_service.h"
 #include "modules/workspace/knowledge_exchange.h"
+#include "node/graceful_shutdown.h"
 #include "node/loop_monitor.h"
 #include "node/mesh_metrics.h"
 #include "node/node_discovery.h"
@@ -53,15 +54,16 @@
 constexpr std::chrono::milliseconds MinConfigPause{100};
 constexpr std::chrono::milliseconds MaxConfigPause{800};
 constexpr std::chrono::milliseconds SettingsCheckPeriod{2'000};
-constexpr std::chrono::milliseconds ShutdownCheckPeriod{50};
 // The platform checks readiness once a second and removes a node after two failed checks; callers
 // send requests until then.
 constexpr std::chrono::milliseconds CallerCloseDelay{2'700};
 // Requests that the owner admits before this time end well before the process has to end.
 constexpr std::chrono::milliseconds OwnerLeaveDelay{1'300};
-// The process ends this long before the platform kills it.
+// Requests are given up this long before the platform kills the process.
 constexpr std::chrono::milliseconds GraceMargin{400};
-// Requests that are still open this long before the process ends are answered as they stand.
+// Responses are delivered until this long before that; a process that is late loses nothing more.
+constexpr std::chrono::milliseconds DeliveryMargin{100};
+// Requests that are still open this long before they are given up are answered as they stand.
 constexpr std::chrono::milliseconds LastAnswerTime{150};
 // Share of the caller connections that are kept alive. The rest is for callers that were told to
 // retry, as these open new connections.
@@ -277,14 +279,12 @@
     TrafficConfig config;
     std::optional<KeyedRecord> pendingConfig; ///< The newest configuration, until installed.
     bool hasConfig = false;
-    bool stopping = false;
+    GracefulShutdown shutdown;
     bool ownerLeaving = false; ///< The owner admits no more requests.
-    SteadyTime stoppingSince;
-    Timer configTimer; ///< Active during the pause after an installation.
+    Timer configTimer;         ///< Active during the pause after an installation.
     Timer logTimer;
     Timer statusTimer;
     Timer settingsTimer;
-    Timer shutdownTimer;
 
     Components(const MeshSettings &nodeSettings, const std::string &file);
     ~Components() override;
@@ -306,7 +306,8 @@
     void reloadSettings(const std::string &reason);
     void checkSettingsFile();
     void beginShutdown();
-    void continueShutdown();
+    /** Sets what the process finishes before it ends. */
+    void addShutdownTasks();
 
     void ownerStatusChanged() override { publishStatus(StatusAudience::Everywhere); }
     void requestSuspected(std::uint64_t fingerprint, const std::string &backend) override
@@ -440,6 +441,7 @@
     , readinessServer(localServerOptions(settings, ProbeFileParts, account))
     , controlServer(localServerOptions(settings, ControlFileParts, account))
     , metricsServer(localServerOptions(settings, ProbeFileParts, account))
+    , shutdown(GracefulShutdownOptions{}, timers)
 {
     forwarder.setKeyCheck(&keyCheck);
     if (settings.usage.platform.isValid())
@@ -464,7 +466,7 @@
            });
     listen(readinessServer, settings.readiness,
            [this](const HttpRequest &, const std::shared_ptr<HttpResponder> &responder) {
-               const bool ready = hasConfig && !stopping;
+               const bool ready = hasConfig && !shutdown.isActive();
                responder->respond(HttpResponse{.status = ready ? 200 : StatusUnavailable});
            });
     listen(controlServer, settings.control,
@@ -653,6 +655,7 @@
                             .orphanedCalls = callServer.orphanedCalls(),
                             .crashSuspects = poison.size(),
                             .reportsUsage = usage != nullptr && usage->service.isHolder(),
+                            .shutdown = shutdown,
                             .account = *account,
                             .storeCalls = storeClient.callCounts()});
 }
@@ -691,37 +694,46 @@
 
 void MeshNode::Components::beginShutdown()
 {
-    if (stopping)
+    if (shutdown.isActive())
         return;
-    stopping = true;
-    stoppingSince = timers.now();
     logEvent(Event::NodeStopping,
              {{"requests", forwarder.openRequests()}, {"work", owner.openRequests()}});
     callerServer.disableKeepAlive();
-    forwarder.setLatestDeadline(stoppingSince + settings.grace - GraceMargin - LastAnswerTime);
-    shutdownTimer = Timer(
-            timers, timers.startPeriodic(ShutdownCheckPeriod, [this] { continueShutdown(); }));
-}
-
-void MeshNode::Components::continueShutdown()
-{
-    const SteadyTime::duration elapsed = timers.now() - stoppingSince;
-    if (elapsed >= OwnerLeaveDelay && !ownerLeaving) {
-        ownerLeaving = true;
-        owner.setLeaving();
-    }
-    if (elapsed >= CallerCloseDelay && !forwarder.isStopping()) {
-        callerServer.stopListening();
-        forwarder.stopAccepting();
-    }
-    if (elapsed >= settings.grace - GraceMargin - LastAnswerTime)
-        forwarder.endOpenRequests();
-    const std::size_t open = callerServer.openRequests() + owner.openRequests();
-    const bool done = elapsed >= CallerCloseDelay && open == 0;
-    if (!done && elapsed < settings.grace - GraceMargin)
-        return;
-    logEvent(Event::NodeStopped, {{"cut_off", open}});
-    g_main_loop_quit(loop);
+    const std::chrono::milliseconds lastAnswer = settings.grace - GraceMargin - LastAnswerTime;
+    forwarder.setLatestDeadline(timers.now() + lastAnswer);
+    addShutdownTasks();
+    shutdown.addStep({.after = OwnerLeaveDelay, .action = [this] {
+                          ownerLeaving = true;
+                          owner.setLeaving();
+                      }});
+    shutdown.addStep({.after = CallerCloseDelay, .action = [this] {
+                          callerServer.stopListening();
+                          forwarder.stopAccepting();
+                      }});
+    shutdown.addStep({.after = lastAnswer, .action = [this] {
+                          forwarder.endOpenRequests();
+                      }});
+    shutdown.begin(std::min(CallerCloseDelay, settings.grace - GraceMargin),
+                   [this] { g_main_loop_quit(loop); });
+}
+
+void MeshNode::Components::addShutdownTasks()
+{
+    const std::chrono::milliseconds workLimit = settings.grace - GraceMargin;
+    const std::chrono::milliseconds deliveryLimit = settings.grace - DeliveryMargin;
+    const auto addWork = [this, workLimit](const char *name, std::function<std::size_t()> count) {
+        shutdown.addTask(
+                {.name = name, .limit = workLimit, .unfinished = [count = std::move(count)] {
+                     return UnfinishedWork{.items = count()};
+                 }});
+    };
+    addWork("requests", [this] { return callerServer.openRequests(); });
+    addWork("work", [this] { return owner.openRequests(); });
+    shutdown.addTask(
+            {.name = "responses", .limit = deliveryLimit, .unfinished = [this] {
+                 const UndeliveredResponses responses = callerServer.undeliveredResponses();
+                 return UnfinishedWork{.items = responses.connections, .bytes = responses.bytes};
+             }});
 }
 
 namespace {
--- a/servers/http_message.h
+++ b/servers/http_message.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,7 +39,10 @@
     int status = 200;
     std::vector<HttpHeader> headers;
     SharedBytes body;
+    // The rest is not part of the message.
     std::shared_ptr<const ByteLease> lease; ///< As in HttpRequest.
+    /** How long its caller waits for it, from now on; a server's default if unset. */
+    std::optional<std::chrono::milliseconds> callerWait;
 };
 
 /**
--- a/servers/http_server.h
+++ b/servers/http_server.h
@@ -76,6 +76,13 @@
     std::size_t maxTotalBufferedResponseBytes = 8 * 1024 * 1024;
 };
 
+/** The responses of a server that their callers have not received completely. */
+struct UndeliveredResponses
+{
+    std::size_t connections = 0; ///< On which there are any.
+    std::size_t bytes = 0;       ///< Of those that are being sent, as far as they are known.
+};
+
 /** Accepts HTTP requests and passes each one to the handler once its whole body has been read. */
 class HttpServer
 {
@@ -91,6 +98,11 @@
     virtual absl::Status listen(const Endpoint &endpoint, Handler handler) = 0;
     /** Stops accepting connections; in-flight requests are still answered. */
     virtual void stopListening() = 0;
+    /**
+     * Returns what would be lost if the process ended now. A response whose caller does not wait
+     * for it any more is left out.
+     */
+    virtual UndeliveredResponses undeliveredResponses() const = 0;
 };
 
 } // namespace jacinthshift
--- a/tests/hostile/hostile_bench.cpp
+++ b/tests/hostile/hostile_bench.cpp
@@ -15,6 +15,7 @@
 #include "platform/tests/record_encoder.h"
 #include "platform/wire_names.h"
 #include "tests/hostile/hostile_crowd.h"
+#include "tests/support/slow_reader.h"
 
 namespace jacinthshift {
 
@@ -142,7 +143,7 @@
          << "\n  control: " << listen(8082) << "\n  links: " << listen(7000)
          << "\n  metrics: " << listen(9901) << "\nplatform:\n  store: " << m_network.prefix()
          << ".250.1:6000\nseeds: [" << endpoint(0, 8082).text() << ", " << endpoint(1, 8082).text()
-         << "]\nlimits:\n  max_files: " << m_setup.maxFiles << "\n";
+         << "]\nlimits:\n  grace_seconds: 6\n  max_files: " << m_setup.maxFiles << "\n";
 }
 
 bool HostileBench::startNode(Node &node) const
@@ -375,6 +376,59 @@
     return failures;
 }
 
+std::vector<std::string> HostileBench::stopDuringResponse(const StopCase &stop)
+{
+    const auto request = [&stop](std::size_t number) {
+        return joinText("GET ", SizedPath, stop.responseBytes, " HTTP/1.1\r\nHost: ", Host, "\r\n",
+                        names.requestId, ": slow-", number, "\r\n", names.deadline, ": ",
+                        stop.callerWait.count(), "\r\n\r\n");
+    };
+    SlowReader caller({.server = endpoint(0, 8080), .readBytes = stop.readBytes}, m_timers);
+    std::string requests;
+    for (std::size_t i = 0; i < stop.pipelined; ++i)
+        requests += request(i);
+    caller.send(requests);
+    if (!waitFor(StartTime, [&caller] { return caller.hasReceived(); }))
+        return {"no response has begun"};
+    waitFor(stop.stopAfter, [] { return false; });
+    Node &node = *m_nodes[stop.stoppedNode];
+    node.process.signal(SIGTERM);
+    if (stop.stopsReading)
+        caller.stopReading();
+    Timer lateRequest;
+    if (stop.requestAfterStop.count() > 0)
+        lateRequest = Timer(m_timers, m_timers.startOnce(stop.requestAfterStop, [&] {
+            caller.send(request(stop.pipelined));
+        }));
+    std::vector<std::string> failures = awaitEnd(node, stop.maxDuration);
+    if (stop.stopsReading)
+        return failures;
+    waitFor(stop.callerWait, [&caller] { return caller.hasEnded(); });
+    const std::vector<SlowReader::Response> responses = caller.responses();
+    const auto complete = static_cast<std::size_t>(
+            std::count_if(responses.begin(), responses.end(), [&stop](const auto &response) {
+                return response.status == 200 && response.body.size() == stop.responseBytes;
+            }));
+    if (complete != stop.pipelined)
+        failures.push_back(joinText(complete, " of ", stop.pipelined, " responses were complete"));
+    const bool refused = !responses.empty() && responses.back().status == 503;
+    if (stop.requestAfterStop.count() > 0 && !refused)
+        failures.emplace_back("the late request was not refused");
+    return failures;
+}
+
+std::vector<std::string> HostileBench::awaitEnd(Node &node, milliseconds limit)
+{
+    const SteadyTime start = m_timers.now();
+    const bool ended = waitFor(limit, [&node] { return node.process.hasEnded(); });
+    const auto elapsed = std::chrono::duration_cast<milliseconds>(m_timers.now() - start);
+    if (!ended)
+        return {joinText(node.name, " had not ended ", elapsed.count(), " ms after SIGTERM")};
+    if (node.process.exitCode() != 0)
+        return {joinText(node.name, " ended with status ", node.process.exitCode())};
+    return {};
+}
+
 std::vector<std::string> HostileBench::exceededLimits()
 {
     sampleNodes();
--- a/tests/hostile/hostile_bench.h
+++ b/tests/hostile/hostile_bench.h
@@ -13,6 +13,7 @@
 #include "drivers/glib/glib_timer_service.h"
 #include "tests/hostile/hostile_case.h"
 #include "tests/hostile/lone_request.h"
+#include "tests/hostile/stop_case.h"
 #include "tests/soak/soak_store.h"
 #include "tests/support/child_process.h"
 #include "tests/support/loopback_network.h"
@@ -64,6 +65,8 @@
     bool waitFor(std::chrono::milliseconds limit, const std::function<bool()> &condition);
     /** Sends ordinary requests, one at a time, until one is answered. */
     bool isServed(std::size_t node, std::chrono::seconds limit);
+    /** Waits until a node that was told to stop has ended. Returns a line if that was late. */
+    std::vector<std::string> awaitEnd(Node &node, std::chrono::milliseconds limit);
     /** Returns a line for each limit that a node has exceeded. */
     std::vector<std::string> exceededLimits();
 
@@ -76,6 +79,8 @@
     std::vector<std::string> play(const HostileCase &hostileCase);
     /** Sends a request that has to be served, some times in a row. Returns the same. */
     std::vector<std::string> sendAlone(const LoneRequestCase &request);
+    /** Stops a node while a caller reads slowly. Returns the same. */
+    std::vector<std::string> stopDuringResponse(const StopCase &stop);
     /** Returns the figures of the last play. */
     std::string summary() const;
     const std::string &directory() const { return m_directory; }
