Stop: deliver results that are on their way to other nodes

What callers saw: 502 for a request whose response of 460 KB its owner was still sending to the caller's node, over a link of 1 Mbit/s, when the owner got SIGTERM. The owner ended after 2.7 s of its 6 s.

The owner's backend server was done, so the owner counted no work; the parts that PartSender still held, and frames that the peer had not read, were in no count.

Change: the shutdown waits for bodies that are sent in parts, for calls that have arrived in part or wait to start, and for links on which the peer has not acknowledged a result that its caller still waits for.

--- a/drivers/websocket/websocket_link_transport.cpp
+++ b/drivers/websocket/websocket_link_transport.cpp
@@ -400,6 +400,12 @@
     return channel == nullptr ? 0 : channel->output.size();
 }
 
+std::size_t WebsocketLinkTransport::unacknowledgedBytes(LinkId link) const
+{
+    const State::ChannelPointer channel = m_state->findOpen(link);
+    return channel == nullptr ? 0 : channel->output.size() + channel->socket.unacknowledgedBytes();
+}
+
 void WebsocketLinkTransport::setCompression(LinkId link, bool compressed)
 {
     if (const State::ChannelPointer channel = m_state->findOpen(link))
--- a/drivers/websocket/websocket_link_transport.h
+++ b/drivers/websocket/websocket_link_transport.h
@@ -22,6 +22,7 @@
     bool send(LinkId link, const std::string &frame) override;
     bool sendUncompressed(LinkId link, const std::string &frame) override;
     std::size_t queuedBytes(LinkId link) const override;
+    std::size_t unacknowledgedBytes(LinkId link) const override;
     void setCompression(LinkId link, bool compressed) override;
     void close(LinkId link) override;
 };
--- a/modules/fleet/call_server.cpp
+++ b/modules/fleet/call_server.cpp
@@ -215,6 +215,7 @@
     }
     m_running[key] = RunningCall{.route = work.route,
                                  .startedAt = m_timers.now(),
+                                 .deadline = m_timers.now() + work.timeLeft,
                                  .reservedBytes = decision.reservedBytes};
     return true;
 }
@@ -225,6 +226,8 @@
     if (running != m_running.end()) {
         const RunningCall &call = running->second;
         m_budget.release(call.reservedBytes);
+        SteadyTime &awaited = m_resultsAwaited[key.node];
+        awaited = std::max(awaited, call.deadline);
         if (result.verdict == Verdict::Done) {
             m_budget.recordResponse(call.route, result.response.body.size(),
                                     std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -245,6 +248,17 @@
     sendResult(key, result);
 }
 
+std::size_t CallServer::undelivered()
+{
+    const SteadyTime now = m_timers.now();
+    std::erase_if(m_resultsAwaited, [now](const auto &entry) { return entry.second <= now; });
+    const auto unread = std::count_if(
+            m_resultsAwaited.begin(), m_resultsAwaited.end(),
+            [this](const auto &entry) { return m_network.unacknowledgedBytes(entry.first) > 0; });
+    return m_incoming.size() + m_arrived.size() + m_parts.transferCount()
+           + static_cast<std::size_t>(unread);
+}
+
 void CallServer::storeResult(const CallKey &key, const WorkResult &result)
 {
     dropStoredResult(key);
--- a/modules/fleet/call_server.h
+++ b/modules/fleet/call_server.h
@@ -75,6 +75,7 @@
         std::uint64_t id = 0; ///< Its id in the handler.
         std::string route;
         SteadyTime startedAt;
+        SteadyTime deadline;           ///< Until when its caller waits.
         std::size_t reservedBytes = 0; ///< Of the response budget.
     };
     /** A call that starts once all input that has arrived with it was read. */
@@ -118,6 +119,8 @@
     std::map<CallKey, WorkResult> m_results;
     std::deque<ExpiryEntry> m_resultExpiry;
     std::size_t m_storedBytes = 0; ///< Of the bodies in m_results.
+    /** By node, until when it waits for the results that were sent to it. */
+    std::map<std::string, SteadyTime> m_resultsAwaited;
     std::map<CallKey, CallEnd> m_ended;
     std::deque<ExpiryEntry> m_endedExpiry;
     std::uint64_t m_orphanedCalls = 0; ///< Calls that ended after their caller's process.
@@ -160,6 +163,11 @@
 
     /** Returns the number of running calls. */
     std::size_t running() const { return m_running.size(); }
+    /**
+     * Returns the number of calls that have arrived in part or wait to start, and of results that
+     * have not reached the nodes that still wait for them.
+     */
+    std::size_t undelivered();
     /** Returns the number of calls that ended after their caller's process was replaced. */
     std::uint64_t orphanedCalls() const { return m_orphanedCalls; }
     /** Returns how long the VM's link needs for the large responses that it is committed to. */
--- a/modules/fleet/fleet_network.cpp
+++ b/modules/fleet/fleet_network.cpp
@@ -376,6 +376,14 @@
                                                     : m_transport.queuedBytes(known->links.back());
 }
 
+std::size_t FleetNetwork::unacknowledgedBytes(const std::string &node) const
+{
+    const FleetPeer *known = peer(node);
+    return known == nullptr || known->links.empty()
+                   ? 0
+                   : m_transport.unacknowledgedBytes(known->links.back());
+}
+
 void FleetNetwork::countFrame(const FleetPeer &peer, const FleetMessage &message,
                               const std::string &frame)
 {
--- a/modules/fleet/fleet_network.h
+++ b/modules/fleet/fleet_network.h
@@ -198,6 +198,8 @@
     bool sendUncompressed(const std::string &node, const FleetMessage &message);
     /** Returns the bytes that wait on the newest link to a node; zero if it has none. */
     std::size_t queuedBytes(const std::string &node) const;
+    /** Returns the bytes that a node's system has not acknowledged; zero without a link. */
+    std::size_t unacknowledgedBytes(const std::string &node) const;
     /** Sends on the newest link to each peer that has one. */
     void broadcast(const FleetMessage &message);
 
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -721,14 +721,15 @@
 {
     const std::chrono::milliseconds workLimit = settings.grace - GraceMargin;
     const std::chrono::milliseconds deliveryLimit = settings.grace - DeliveryMargin;
-    const auto addWork = [this, workLimit](const char *name, std::function<std::size_t()> count) {
-        shutdown.addTask(
-                {.name = name, .limit = workLimit, .unfinished = [count = std::move(count)] {
-                     return UnfinishedWork{.items = count()};
-                 }});
+    const auto addTask = [this](const char *name, std::chrono::milliseconds limit,
+                                std::function<std::size_t()> count) {
+        shutdown.addTask({.name = name, .limit = limit, .unfinished = [count = std::move(count)] {
+                              return UnfinishedWork{.items = count()};
+                          }});
     };
-    addWork("requests", [this] { return callerServer.openRequests(); });
-    addWork("work", [this] { return owner.openRequests(); });
+    addTask("requests", workLimit, [this] { return callerServer.openRequests(); });
+    addTask("work", workLimit, [this] { return owner.openRequests(); });
+    addTask("results", deliveryLimit, [this] { return callServer.undelivered(); });
     shutdown.addTask(
             {.name = "responses", .limit = deliveryLimit, .unfinished = [this] {
                  const UndeliveredResponses responses = callerServer.undeliveredResponses();
--- a/servers/link_transport.h
+++ b/servers/link_transport.h
@@ -65,6 +65,8 @@
     virtual bool sendUncompressed(LinkId link, const std::string &frame) = 0;
     /** Returns the bytes that wait for the peer to receive earlier ones; zero without a link. */
     virtual std::size_t queuedBytes(LinkId link) const = 0;
+    /** Returns the bytes that the peer's system has not acknowledged; zero without a link. */
+    virtual std::size_t unacknowledgedBytes(LinkId link) const = 0;
     /** Sets whether frames sent on a link are compressed from now on; off by default. */
     virtual void setCompression(LinkId link, bool compressed) = 0;
     /** Closes a link at once; the observer is notified asynchronously. */
--- a/tests/hostile/hostile_bench.cpp
+++ b/tests/hostile/hostile_bench.cpp
@@ -143,7 +143,8 @@
          << "\n  control: " << listen(8082) << "\n  links: " << listen(7000)
          << "\n  metrics: " << listen(9901) << "\nplatform:\n  store: " << m_network.prefix()
          << ".250.1:6000\nseeds: [" << endpoint(0, 8082).text() << ", " << endpoint(1, 8082).text()
-         << "]\nlimits:\n  grace_seconds: 6\n  max_files: " << m_setup.maxFiles << "\n";
+         << "]\nlimits:\n  grace_seconds: 6\n  max_files: " << m_setup.maxFiles
+         << "\n  link_megabits: " << m_setup.linkMegabits << "\n";
 }
 
 bool HostileBench::startNode(Node &node) const
@@ -388,7 +389,8 @@
     for (std::size_t i = 0; i < stop.pipelined; ++i)
         requests += request(i);
     caller.send(requests);
-    if (!waitFor(StartTime, [&caller] { return caller.hasReceived(); }))
+    if (!stop.stopsBeforeResponse
+        && !waitFor(StartTime, [&caller] { return caller.hasReceived(); }))
         return {"no response has begun"};
     waitFor(stop.stopAfter, [] { return false; });
     Node &node = *m_nodes[stop.stoppedNode];
@@ -403,7 +405,10 @@
     std::vector<std::string> failures = awaitEnd(node, stop.maxDuration);
     if (stop.stopsReading)
         return failures;
-    waitFor(stop.callerWait, [&caller] { return caller.hasEnded(); });
+    const std::size_t expected = stop.pipelined + (stop.requestAfterStop.count() > 0 ? 1 : 0);
+    waitFor(stop.callerWait, [&caller, expected] {
+        return caller.hasEnded() || caller.responses().size() == expected;
+    });
     const std::vector<SlowReader::Response> responses = caller.responses();
     const auto complete = static_cast<std::size_t>(
             std::count_if(responses.begin(), responses.end(), [&stop](const auto &response) {
--- a/tests/hostile/hostile_case.h
+++ b/tests/hostile/hostile_case.h
@@ -18,6 +18,7 @@
     std::size_t maxFiles = 400; ///< Limit of each process and max_files of its settings.
     std::size_t maxBodyBytes = 1024 * 1024;
     std::size_t backendNode = 0; ///< The attacked node is 0.
+    double linkMegabits = 1'000.0;
 };
 
 /** What one crowd of hostile clients does. */
--- a/tests/hostile/hostile_main.cpp
+++ b/tests/hostile/hostile_main.cpp
@@ -53,7 +53,7 @@
     if (crowd != crowds.end())
         setup = crowd->setup;
     else if (stop != stops.end())
-        setup = {.backendNode = stop->backendNode};
+        setup = {.backendNode = stop->backendNode, .linkMegabits = stop->linkMegabits};
     else
         setup = {.maxBodyBytes = CallerLimits().maxBodyBytes, .backendNode = request->backendNode};
     HostileBench bench(argc > 2 ? argv[2] : JACINTHSHIFT_BINARIES, setup);
--- a/tests/hostile/stop_case.h
+++ b/tests/hostile/stop_case.h
@@ -19,6 +19,8 @@
     std::size_t readBytes = 5'500; ///< Read every 20 ms.
     bool stopsReading = false;     ///< The caller reads nothing more after the stop has begun.
     std::chrono::milliseconds stopAfter{1'300};  ///< From the first byte of a response.
+    bool stopsBeforeResponse = false;            ///< The stop is counted from the request instead.
+    double linkMegabits = 1'000.0;               ///< Of each VM.
     std::chrono::milliseconds callerWait{8'000}; ///< The deadline in the requests.
     /** The caller sends a further request this long after the stop; none if zero. */
     std::chrono::milliseconds requestAfterStop{0};
--- a/tests/hostile/stop_cases.cpp
+++ b/tests/hostile/stop_cases.cpp
@@ -22,6 +22,15 @@
             {.name = "stop_pipelined_responses_read_slowly",
              .pipelined = 3,
              .responseBytes = LongResponse / 3},
+            // Guards against a stop that loses a response on its way to another node.
+            {.name = "stop_owner_of_long_response",
+             .backendNode = 1,
+             .stoppedNode = 1,
+             .responseBytes = LongResponse,
+             .readBytes = 65'536,
+             .stopAfter = milliseconds(500),
+             .stopsBeforeResponse = true,
+             .linkMegabits = 1.0},
             // Guards against a stop that loses its own refusal behind a slow response.
             {.name = "stop_refusal_behind_slow_response",
              .responseBytes = LongResponse,
--- a/tests/studies/processor_study.cpp
+++ b/tests/studies/processor_study.cpp
@@ -64,6 +64,7 @@
         return send(link, frame);
     }
     std::size_t queuedBytes(LinkId) const override { return 0; }
+    std::size_t unacknowledgedBytes(LinkId) const override { return 0; }
     void setCompression(LinkId, bool) override {}
     void close(LinkId) override {}
 };
--- a/tests/studies/scale_study.cpp
+++ b/tests/studies/scale_study.cpp
@@ -35,6 +35,7 @@
     bool send(LinkId, const std::string &) override { return false; }
     bool sendUncompressed(LinkId, const std::string &) override { return false; }
     std::size_t queuedBytes(LinkId) const override { return 0; }
+    std::size_t unacknowledgedBytes(LinkId) const override { return 0; }
     void setCompression(LinkId, bool) override {}
     void close(LinkId) override {}
 };
--- a/tests/support/fake_link_hub.h
+++ b/tests/support/fake_link_hub.h
@@ -133,6 +133,10 @@
         return send(link, frame);
     }
     std::size_t queuedBytes(LinkId) const override { return 0; }
+    std::size_t unacknowledgedBytes(LinkId link) const override
+    {
+        return m_hub.silencedLinks.contains(link) ? 1 : 0;
+    }
     void setCompression(LinkId, bool) override {}
     void close(LinkId link) override
     {
