Departures: record that a backend server leaves before acknowledging it

Cause: the acknowledgement was given from memory. After the loss of all processes nobody knew of it, and the owner took the late heartbeat for that of a new lifetime. Evidence: on the earlier program the new process logs BackendAnnounced for it and no peer logs LeftBackendReported; with one process restarted the peers do.

Change: DepartureRecorder writes the lifetime to the store before draining or a deregistration is acknowledged, and answers 503 if that takes longer than a server waits. A process reads the departures with the contacts of the nodes, without a further call, and believes no heartbeat before; if the store cannot be read, heartbeats have to go on for 3 s.

The model test found three related faults, mended here as they are the same promise: a draining heartbeat overtaken by a ready one was acknowledged and ignored; draining was forgotten when the next server registered; a late draining heartbeat of an earlier server was not noted. A server whose start time went back was unusable for ever, and is used after 6 s.

Why it works: a promise that outlasts processes is kept where everything outlasts them, and a process that does not know yet believes nothing that the promise could forbid.

--- a/core/event.cpp
+++ b/core/event.cpp
@@ -69,6 +69,8 @@
             {Event::LeftBackendReported, "LeftBackendReported", EventLevel::Warning, true},
             {Event::BackendTurnedCold, "BackendTurnedCold", EventLevel::Info, false},
             {Event::BackendConnectionLost, "BackendConnectionLost", EventLevel::Info, true},
+            {Event::DepartureRecorded, "DepartureRecorded", EventLevel::Info, false},
+            {Event::DepartureNotRecorded, "DepartureNotRecorded", EventLevel::Warning, true},
             {Event::RateLimitNamed, "RateLimitNamed", EventLevel::Warning, false},
             {Event::RateLimitEnded, "RateLimitEnded", EventLevel::Info, false},
             {Event::RateLimitMalformed, "RateLimitMalformed", EventLevel::Warning, true},
--- a/core/event.h
+++ b/core/event.h
@@ -79,6 +79,8 @@
     LeftBackendReported = 4015,
     BackendTurnedCold = 4016,
     BackendConnectionLost = 4017,
+    DepartureRecorded = 4018,
+    DepartureNotRecorded = 4019,
     RateLimitNamed = 4020,
     RateLimitEnded = 4021,
     RateLimitMalformed = 4022,
--- a/modules/fleet/fleet_network.cpp
+++ b/modules/fleet/fleet_network.cpp
@@ -498,6 +498,16 @@
     }
 }
 
+void FleetNetwork::backendLeft(const std::string &node, const BackendLifetime &backend)
+{
+    const auto found = m_peers.find(node);
+    if (found == m_peers.end())
+        return;
+    std::optional<BackendLifetime> &known = found->second.leavingBackend;
+    if (!known || known->startedAt < backend.startedAt)
+        known = backend;
+}
+
 bool FleetNetwork::isBackendLeaving(const FleetPeer &peer)
 {
     const BackendStatus &backend = peer.status.backend;
--- a/modules/fleet/fleet_network.h
+++ b/modules/fleet/fleet_network.h
@@ -187,6 +187,8 @@
      * was new.
      */
     bool addContacts(const std::vector<NodeContact> &contacts);
+    /** Notes that a backend server of a node has left, as its status would say. */
+    void backendLeft(const std::string &node, const BackendLifetime &backend);
     /** Connects to a node of which only the address is known. */
     void connectEndpoint(const Endpoint &linkEndpoint);
 
--- a/modules/fleet/messages.h
+++ b/modules/fleet/messages.h
@@ -38,7 +38,7 @@
     std::string id;
     std::uint64_t startedAt = 0; ///< Unix milliseconds; zero if unknown.
 
-    bool operator==(const BackendLifetime &) const = default;
+    auto operator<=>(const BackendLifetime &) const = default;
 };
 
 /** The first message on a link, sent by both ends. */
--- a/modules/owner/backend_owner.cpp
+++ b/modules/owner/backend_owner.cpp
@@ -32,6 +32,18 @@
     return status >= FirstSuccess && status < FirstRedirect;
 }
 
+std::string_view reasonToIgnore(RegistrationOutcome outcome)
+{
+    switch (outcome) {
+    case RegistrationOutcome::Deregistered:
+        return "it has deregistered";
+    case RegistrationOutcome::Unconfirmed:
+        return "it may be late, and what was acknowledged before is not known yet";
+    default:
+        return "stale";
+    }
+}
+
 std::chrono::milliseconds timeUntil(SteadyTime now, SteadyTime then)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(then - now);
@@ -59,13 +71,11 @@
                 joinText("this VM runs service ", m_options.service, ", not ", heartbeat.service));
     const BackendAvailability oldAvailability = availability();
     const std::optional<BackendHeartbeat> previous = m_registration.current();
-    const RegistrationOutcome outcome = m_registration.heartbeat(heartbeat);
-    if (outcome == RegistrationOutcome::Stale || outcome == RegistrationOutcome::Deregistered) {
-        logEvent(Event::HeartbeatIgnored,
-                 {{"backend", heartbeat.id},
-                  {"sequence", heartbeat.sequence},
-                  {"reason", outcome == RegistrationOutcome::Deregistered ? "it has deregistered"
-                                                                          : "stale"}});
+    const RegistrationOutcome outcome = m_registration.heartbeat(heartbeat, m_timers.now());
+    if (outcome != RegistrationOutcome::Accepted && outcome != RegistrationOutcome::NewLifetime) {
+        logEvent(Event::HeartbeatIgnored, {{"backend", heartbeat.id},
+                                           {"sequence", heartbeat.sequence},
+                                           {"reason", reasonToIgnore(outcome)}});
         return absl::OkStatus();
     }
     const bool draining = m_registration.current()->draining;
@@ -114,9 +124,19 @@
     return absl::OkStatus();
 }
 
-void BackendOwner::deregister(const std::string &id, std::optional<std::uint64_t> startedAt)
+BackendLifetime BackendOwner::deregister(const std::string &id,
+                                         std::optional<std::uint64_t> startedAt)
 {
     removeBackend(id, startedAt, "it has deregistered");
+    return {.id = id, .startedAt = m_registration.lastDeregistration()->startedAt.value_or(0)};
+}
+
+void BackendOwner::setHistoryKnown(bool known)
+{
+    m_registration.setHistoryKnown(known);
+    const std::optional<BackendHeartbeat> unconfirmed = m_registration.unconfirmed();
+    if (known && unconfirmed)
+        heartbeat(*unconfirmed).IgnoreError();
 }
 
 void BackendOwner::backendLeft(const BackendLifetime &backend)
--- a/modules/owner/backend_owner.h
+++ b/modules/owner/backend_owner.h
@@ -203,8 +203,10 @@
 
     /** Processes a heartbeat. Fails with InvalidArgument if it is for another service. */
     absl::Status heartbeat(const BackendHeartbeat &heartbeat);
-    /** Processes the deregistration of a backend server that shuts down. */
-    void deregister(const std::string &id, std::optional<std::uint64_t> startedAt);
+    /** Processes the deregistration of a backend server that shuts down. Returns its lifetime. */
+    BackendLifetime deregister(const std::string &id, std::optional<std::uint64_t> startedAt);
+    /** Sets whether backendLeft() has been called for all that earlier processes were told. */
+    void setHistoryKnown(bool known);
     /** Records that a backend server has told an earlier process of this node that it shuts down.
      */
     void backendLeft(const BackendLifetime &backend);
--- a/modules/owner/backend_registration.h
+++ b/modules/owner/backend_registration.h
@@ -16,6 +16,21 @@
     NewLifetime,  ///< Another backend server, or the same one after a restart, was registered.
     Stale,        ///< It is outdated or not of the current backend server.
     Deregistered, ///< It is of a backend server that has deregistered.
+    Unconfirmed,  ///< It may be late, and is kept until another one confirms it.
+};
+
+struct BackendRegistrationOptions
+{
+    /**
+     * How long heartbeats of a lifetime have to arrive before it counts as one that still sends
+     * them, while it is not known which lifetimes have ended.
+     */
+    std::chrono::milliseconds confirmTime{3'000};
+    /**
+     * The same for a lifetime that began before one that is already known, which is late unless the
+     * clock of its VM went back.
+     */
+    std::chrono::milliseconds earlierStartConfirmTime{6'000};
 };
 
 /**
@@ -36,15 +51,49 @@
     };
 
 private:
+    /** A lifetime that is not registered, as its heartbeats may be late ones. */
+    struct Candidate
+    {
+        BackendHeartbeat newest;
+        SteadyTime since; ///< When its first heartbeat arrived.
+    };
+
+    BackendRegistrationOptions m_options;
     std::optional<BackendHeartbeat> m_current;
+    std::optional<Candidate> m_candidate;
     std::deque<Deregistration> m_deregistrations;
+    bool m_historyKnown = true;
 
     bool hasDeregistered(const BackendHeartbeat &heartbeat) const;
     bool isOlderLifetime(const BackendHeartbeat &heartbeat) const;
+    bool isOfCurrentLifetime(const BackendHeartbeat &heartbeat) const;
+    /** Returns how long heartbeats of its lifetime must arrive; zero if it is believed at once. */
+    std::chrono::milliseconds neededConfirmTime(const BackendHeartbeat &heartbeat) const;
+    /** Returns whether the heartbeats of this lifetime have arrived for that long. */
+    bool isConfirmed(const BackendHeartbeat &heartbeat, std::chrono::milliseconds confirmTime,
+                     SteadyTime now);
+    /** Notes that a lifetime other than the current one is draining, which is final. */
+    void addDrained(const BackendHeartbeat &heartbeat);
+    RegistrationOutcome updateCurrent(const BackendHeartbeat &heartbeat);
 
 public:
-    /** Processes a heartbeat. Ignores it if the outcome is Stale or Deregistered. */
-    RegistrationOutcome heartbeat(const BackendHeartbeat &heartbeat);
+    explicit BackendRegistration(const BackendRegistrationOptions &options = {})
+        : m_options(options)
+    {
+    }
+
+    /** Processes a heartbeat. Ignores it unless the outcome is Accepted or NewLifetime. */
+    RegistrationOutcome heartbeat(const BackendHeartbeat &heartbeat, SteadyTime now);
+    /**
+     * Sets whether all deregistrations that earlier processes of this node have acknowledged are
+     * known. If not, the first heartbeat of a lifetime may be a late one.
+     */
+    void setHistoryKnown(bool known) { m_historyKnown = known; }
+    /** Returns the newest heartbeat of a lifetime that waits for confirmation. */
+    std::optional<BackendHeartbeat> unconfirmed() const
+    {
+        return m_candidate ? std::optional(m_candidate->newest) : std::nullopt;
+    }
     /**
      * Processes a deregistration. Heartbeats of the same lifetime that arrive later are ignored.
      * Returns Accepted if it is of the current backend server, otherwise Stale.
--- a/node/mesh_metrics.cpp
+++ b/node/mesh_metrics.cpp
@@ -76,6 +76,7 @@
     appendMetric("requests_open", sources.openRequests);
     appendMetric("calls_orphaned_total", sources.orphanedCalls);
     appendMetric("crash_suspects", sources.crashSuspects);
+    appendMetric("departures_pending", sources.pendingDepartures);
     const BackendStatus &backend = sources.backend;
     appendMetric("backend_available", backend.availability == BackendAvailability::Ready ? 1 : 0);
     appendMetric("backend_limit", backend.concurrencyLimit);
--- a/node/mesh_metrics.h
+++ b/node/mesh_metrics.h
@@ -38,7 +38,8 @@
     std::size_t openRequests = 0;
     std::uint64_t orphanedCalls = 0;
     std::size_t crashSuspects = 0;
-    bool reportsUsage = false; ///< Whether this node holds the duty of reporting usage.
+    std::size_t pendingDepartures = 0; ///< Of backend servers, not in the store yet.
+    bool reportsUsage = false;         ///< Whether this node holds the duty of reporting usage.
     const GracefulShutdown &shutdown;
     const ByteAccount &account;
     /** Calls to the platform's store, by outcome. */
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -24,6 +24,7 @@
 #include "modules/forwarding/forwarder.h"
 #include "modules/owner/backend_owner.h"
 #include "modules/owner/crash_exchange.h"
+#include "modules/owner/departure_recorder.h"
 #include "modules/rollout/rollout_controller.h"
 #include "modules/usage/usage_service.h"
 #include "modules/workspace/knowledge_exchange.h"
@@ -34,6 +35,7 @@
 #include "platform/http_usage_receiver.h"
 #include "platform/record_codec.h"
 #include "platform/store_client.h"
+#include "platform/store_departure_register.h"
 #include "platform/store_rollout_register.h"
 #include "platform/store_usage_register.h"
 #include "platform/wire_names.h"
@@ -88,6 +90,12 @@
     return static_cast<std::uint64_t>(unixMilliseconds(std::chrono::system_clock::now()));
 }
 
+/** Returns the response to a heartbeat or a deregistration that takes effect. */
+HttpResponse acknowledgement()
+{
+    return HttpResponse{.headers = {{"Content-Type", "application/json"}}, .body = "{}"};
+}
+
 std::time_t modificationTime(const std::string &file)
 {
     struct stat found = {};
@@ -235,7 +243,9 @@
 } // namespace
 
 /** The node's components; each is declared after those that it depends on. */
-struct MeshNode::Components final : public OwnerObserver, public FleetObserver
+struct MeshNode::Components final : public OwnerObserver,
+                                    public FleetObserver,
+                                    public DepartureObserver
 {
     MeshSettings settings;
     std::string settingsFile;
@@ -254,6 +264,8 @@
     PoisonRegistry poison;
     CrashExchange crashes;
     BackendOwner owner;
+    StoreDepartureRegister departureRegister;
+    DepartureRecorder departures;
     CallServer callServer;
     RemoteCallClient remoteCallClient;
     StoreRolloutRegister rolloutRegister;
@@ -301,7 +313,11 @@
     void applyDomainOrder(const DomainOrder &order);
     void publishStatus(StatusAudience audience);
     void handleControl(const HttpRequest &request, const std::shared_ptr<HttpResponder> &responder);
-    absl::Status acceptHeartbeat(const std::string &id, const HttpRequest &request);
+    absl::Status acceptHeartbeat(const std::string &id, const HttpRequest &request,
+                                 const std::shared_ptr<HttpResponder> &responder);
+    /** Acknowledges that a backend server leaves once that is recorded. */
+    void acknowledgeDeparture(const BackendLifetime &backend,
+                              const std::shared_ptr<HttpResponder> &responder);
     std::string metricsText();
     void reloadSettings(const std::string &reason);
     void checkSettingsFile();
@@ -319,6 +335,7 @@
     void runRejected(const std::string &workspace, SteadyTime startedAt) override;
     void messageReceived(const std::string &node, const FleetMessage &message) override;
     void linksChanged(const std::string &) override {}
+    void departuresRead(const std::vector<Departure> &read) override;
 };
 
 /** Counts usage and reports it to the platform. */
@@ -419,6 +436,8 @@
                                 .coldFactor = settings.coldFactor,
                                 .maxHeldBodyBytes = account->limit()},
             backendHttp, timers, poison, *this)
+    , departureRegister(settings.node, storeClient, timers)
+    , departures(DepartureRecorderOptions{.randomSeed = randomSeed}, departureRegister, timers)
     , callServer(workServerOptions(settings, account), network, timers, owner)
     , remoteCallClient(RemoteCallClientOptions{.account = account}, network, timers)
     , rolloutRegister(storeClient)
@@ -447,6 +466,9 @@
     if (settings.usage.platform.isValid())
         usage = std::make_unique<UsageReporting>(*this);
     network.addObserver(*this);
+    // Until the register was read, a heartbeat may be one of a backend server that has left.
+    owner.setHistoryKnown(false);
+    discovery.setDepartureObserver(*this);
     follower.setReadListener(bootClock, [this](BootTime sentAt) { knowledge.tableRead(sentAt); });
     table.setListener([this](const KeyedRecord &record) { handleOperatorRecord(record); });
     table.setRestoreListener([this](std::uint64_t era) { logRestored(era); });
@@ -516,6 +538,7 @@
 {
     logEvent(Event::LogRestored, {{"era", era}, {"end", table.end()}});
     discovery.logRestored();
+    departures.registerRestored();
     rollouts.logRestored();
     if (usage != nullptr)
         usage->service.logRestored();
@@ -600,10 +623,48 @@
 }
 
 absl::Status MeshNode::Components::acceptHeartbeat(const std::string &id,
-                                                   const HttpRequest &request)
+                                                   const HttpRequest &request,
+                                                   const std::shared_ptr<HttpResponder> &responder)
 {
     const absl::StatusOr<BackendHeartbeat> heartbeat = decodeHeartbeat(id, request.body);
-    return heartbeat.ok() ? owner.heartbeat(*heartbeat) : heartbeat.status();
+    if (!heartbeat.ok())
+        return heartbeat.status();
+    const absl::Status status = owner.heartbeat(*heartbeat);
+    if (!status.ok())
+        return status;
+    if (heartbeat->draining)
+        acknowledgeDeparture({.id = id, .startedAt = heartbeat->startedAt.value_or(0)}, responder);
+    else
+        responder->respond(acknowledgement());
+    return absl::OkStatus();
+}
+
+void MeshNode::Components::acknowledgeDeparture(const BackendLifetime &backend,
+                                                const std::shared_ptr<HttpResponder> &responder)
+{
+    // Without a start time, the record would also hold for later lifetimes under the same id.
+    if (backend.startedAt == 0) {
+        responder->respond(acknowledgement());
+        return;
+    }
+    departures.record(backend, [responder](bool recorded) {
+        responder->respond(recorded ? acknowledgement()
+                                    : HttpResponse{.status = StatusUnavailable,
+                                                   .body = "the departure is not recorded yet\n"});
+    });
+}
+
+void MeshNode::Components::departuresRead(const std::vector<Departure> &read)
+{
+    for (const Departure &departure : read) {
+        if (departure.node == settings.node) {
+            if (departures.departureRead(departure.backend))
+                owner.backendLeft(departure.backend);
+        } else {
+            network.backendLeft(departure.node, departure.backend);
+        }
+    }
+    owner.setHistoryKnown(true);
 }
 
 void MeshNode::Components::handleControl(const HttpRequest &request,
@@ -615,18 +676,15 @@
         return;
     }
     if (request.method == "DELETE") {
-        owner.deregister(id, decodeDeregistration(request.body));
-    } else {
-        const absl::Status status = acceptHeartbeat(id, request);
-        if (!status.ok()) {
-            const std::string reason(status.message());
-            logEvent(Event::BackendRefused, {{"backend", id}, {"reason", reason}});
-            responder->respond(HttpResponse{.status = StatusBadRequest, .body = reason + "\n"});
-            return;
-        }
+        acknowledgeDeparture(owner.deregister(id, decodeDeregistration(request.body)), responder);
+        return;
     }
-    responder->respond(
-            HttpResponse{.headers = {{"Content-Type", "application/json"}}, .body = "{}"});
+    const absl::Status status = acceptHeartbeat(id, request, responder);
+    if (status.ok())
+        return;
+    const std::string reason(status.message());
+    logEvent(Event::BackendRefused, {{"backend", id}, {"reason", reason}});
+    responder->respond(HttpResponse{.status = StatusBadRequest, .body = reason + "\n"});
 }
 
 void MeshNode::Components::messageReceived(const std::string &, const FleetMessage &message)
@@ -654,6 +712,7 @@
                             .openRequests = forwarder.openRequests(),
                             .orphanedCalls = callServer.orphanedCalls(),
                             .crashSuspects = poison.size(),
+                            .pendingDepartures = departures.pending(),
                             .reportsUsage = usage != nullptr && usage->service.isHolder(),
                             .shutdown = shutdown,
                             .account = *account,
--- a/node/node_discovery.cpp
+++ b/node/node_discovery.cpp
@@ -2,8 +2,8 @@
 
 #include <algorithm>
 
+#include "core/duration.h"
 #include "core/logger.h"
-#include "platform/record_codec.h"
 #include "platform/wire_names.h"
 
 namespace jacinthshift {
@@ -56,19 +56,48 @@
             scheduleRead(m_options.retryDelay);
             return;
         }
-        std::vector<NodeContact> contacts;
-        for (const KeyedRecord &record : page->records) {
-            const absl::StatusOr<NodeContact> contact = decodeContact(record);
-            if (contact.ok())
-                contacts.push_back(*contact);
-            else
-                logEvent(
-                        Event::OperatorRecordIgnored,
-                        {{"key", record.key}, {"reason", std::string(contact.status().message())}});
-        }
-        m_network.addContacts(contacts);
+        pageRead(page->records);
         scheduleReadIfIsolated();
     });
 }
 
+void NodeDiscovery::pageRead(const std::vector<KeyedRecord> &records)
+{
+    std::vector<NodeContact> contacts;
+    std::vector<Departure> departures;
+    const auto append = [](auto &list, const KeyedRecord &record, auto decoded) {
+        if (decoded.ok())
+            list.push_back(*std::move(decoded));
+        else
+            logEvent(Event::OperatorRecordIgnored,
+                     {{"key", record.key}, {"reason", std::string(decoded.status().message())}});
+    };
+    for (const KeyedRecord &record : records) {
+        if (isDeparture(record))
+            append(departures, record, decodeDeparture(record));
+        else
+            append(contacts, record, decodeContact(record));
+    }
+    m_network.addContacts(contacts);
+    if (m_departureObserver != nullptr)
+        m_departureObserver->departuresRead(departures);
+    removeOldDeparture(departures);
+}
+
+void NodeDiscovery::removeOldDeparture(const std::vector<Departure> &departures)
+{
+    const auto now = std::chrono::milliseconds(unixMilliseconds(m_timers.wallNow()));
+    std::vector<const Departure *> old;
+    for (const Departure &departure : departures) {
+        if (now - departure.at > m_options.departureRetention)
+            old.push_back(&departure);
+    }
+    if (old.empty())
+        return;
+    const Departure &removed = *old[m_random.below(old.size())];
+    m_log.write(KeyedWrite{.table = wire::NodesTable,
+                           .key = departureKey(removed.node, removed.backend)},
+                [](const absl::Status &) {});
+}
+
 } // namespace jacinthshift
