Stop: one answer to when a process may end, for both kinds of node

Cause: the product's own node (jacinthshift node) had an answer of its own to when it may end, with the same gap: requests and work were counted, responses that callers still read were not.

Change: it uses GracefulShutdown with the same tasks; libsoup's server counts the responses that are being sent.

A process of this node was not stopped under a slow reader, so that it lost responses before is read from the code, not run.

--- a/node/node.cpp
+++ b/node/node.cpp
@@ -23,6 +23,7 @@
 #include "modules/release/release_controller.h"
 #include "modules/routing/link_owner_client.h"
 #include "modules/routing/router.h"
+#include "node/graceful_shutdown.h"
 #include "node/local_api.h"
 
 namespace jacinthshift {
@@ -30,7 +31,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds IdempotencyKeyRetention{120'000};
-constexpr std::chrono::milliseconds ShutdownCheckPeriod{50};
 constexpr std::chrono::milliseconds ShutdownTimeout{30'000};
 // Time for other nodes to receive the leaving status; the node answers with refusals meanwhile.
 constexpr std::chrono::milliseconds LeaveNoticeTime{500};
@@ -73,9 +73,8 @@
     Router router;
     ConfigChangeLogger changeLogger;
     LocalApi api;
-    Timer shutdownTimer;
+    GracefulShutdown shutdown{GracefulShutdownOptions{}, timers};
     Timer servingTimer;
-    SteadyTime stoppingSince;
     bool stopping = false;
     bool serving = false;
 
@@ -91,7 +90,8 @@
     void configurationChanged(const ConfigState &state);
     void updateServing();
     void beginShutdown();
-    void continueShutdown();
+    /** Sets what the process finishes before it ends. */
+    void addShutdownTasks();
 
     void backendChanged() override { publishOwnRecord(); }
     void requestSuspected(std::uint64_t fingerprint) override;
@@ -260,24 +260,27 @@
     if (stopping)
         return;
     stopping = true;
-    stoppingSince = timers.now();
     logEvent(Event::NodeStopping,
              {{"requests", router.openRequests()}, {"in_flight", agent.inFlight()}});
     router.stopAccepting();
     agent.stopAccepting();
     publishOwnRecord();
-    shutdownTimer = Timer(
-            timers, timers.startPeriodic(ShutdownCheckPeriod, [this] { continueShutdown(); }));
+    addShutdownTasks();
+    shutdown.begin(LeaveNoticeTime, [this] { g_main_loop_quit(loop); });
 }
 
-void Node::Components::continueShutdown()
+void Node::Components::addShutdownTasks()
 {
-    const SteadyTime::duration elapsed = timers.now() - stoppingSince;
-    const bool idle = agent.isIdle() && router.openRequests() == 0 && elapsed > LeaveNoticeTime;
-    if (!idle && elapsed < ShutdownTimeout)
-        return;
-    logEvent(Event::NodeStopped, {{"cut_off", router.openRequests() + agent.inFlight()}});
-    g_main_loop_quit(loop);
+    const auto addTask = [this](const char *name, std::function<std::size_t()> count) {
+        shutdown.addTask(
+                {.name = name, .limit = ShutdownTimeout, .unfinished = [count = std::move(count)] {
+                     return UnfinishedWork{.items = count()};
+                 }});
+    };
+    addTask("requests", [this] { return router.openRequests(); });
+    addTask("work",
+            [this] { return agent.isIdle() ? 0 : std::max<std::size_t>(agent.inFlight(), 1); });
+    addTask("responses", [this] { return callerServer.undeliveredResponses().connections; });
 }
 
 Node::Node(const NodeSettings &settings) : m_components(std::make_unique<Components>(settings)) {}
