Departures: a second attempt when the store's response is late

What callers would see: a backend server that leaves while responses of the store are lost gets no acknowledgement in the second that it waits, as the client learns only after 1.5 s that a response does not come; it exits later for that.

Writing a departure twice changes nothing, as each has a key of its own.

--- a/modules/fleet/call_server.cpp
+++ b/modules/fleet/call_server.cpp
@@ -248,7 +248,7 @@
     sendResult(key, result);
 }
 
-std::size_t CallServer::undelivered()
+std::size_t CallServer::unfinishedCalls()
 {
     const SteadyTime now = m_timers.now();
     std::erase_if(m_resultsAwaited, [now](const auto &entry) { return entry.second <= now; });
--- a/modules/fleet/call_server.h
+++ b/modules/fleet/call_server.h
@@ -167,7 +167,7 @@
      * Returns the number of calls that have arrived in part or wait to start, and of results that
      * have not reached the nodes that still wait for them.
      */
-    std::size_t undelivered();
+    std::size_t unfinishedCalls();
     /** Returns the number of calls that ended after their caller's process was replaced. */
     std::uint64_t orphanedCalls() const { return m_orphanedCalls; }
     /** Returns how long the VM's link needs for the large responses that it is committed to. */
--- a/modules/owner/departure_recorder.cpp
+++ b/modules/owner/departure_recorder.cpp
@@ -39,10 +39,8 @@
 DepartureRecorder::Pending &DepartureRecorder::addPending(const BackendLifetime &backend)
 {
     const auto [entry, isNew] = m_pending.try_emplace(backend);
-    if (isNew) {
+    if (isNew)
         entry->second.since = m_timers.now();
-        entry->second.retryDelay = m_options.minRetryDelay;
-    }
     return entry->second;
 }
 
@@ -64,7 +62,7 @@
                              m_timers.startOnce(m_options.answerTimeout, [this, backend, waiter] {
                                  giveUpWaiting(backend, waiter);
                              }))};
-    if (!pending.writing && !pending.retryTimer.isActive())
+    if (pending.attempts == 0)
         write(backend);
 }
 
@@ -81,43 +79,51 @@
     callback(false);
 }
 
-void DepartureRecorder::write(const BackendLifetime &backend)
+std::chrono::milliseconds DepartureRecorder::backOff(std::chrono::milliseconds first,
+                                                     const Pending &pending) const
+{
+    constexpr std::uint32_t MaxDoublings = 10;
+    const std::uint32_t doublings = std::min(pending.attempts - 1, MaxDoublings);
+    return std::min(first * (1U << doublings), m_options.maxRetryDelay);
+}
+
+void DepartureRecorder::write(BackendLifetime backend)
 {
     Pending &pending = addPending(backend);
-    pending.writing = true;
-    m_register.write(backend,
-                     [this, backend](const absl::Status &status) { written(backend, status); });
+    const std::uint32_t attempt = ++pending.attempts;
+    // A response that was lost is not known to be until much later.
+    pending.retryTimer =
+            Timer(m_timers, m_timers.startOnce(backOff(m_options.attemptTimeout, pending),
+                                               [this, backend] { write(backend); }));
+    m_register.write(backend, [this, backend, attempt](const absl::Status &status) {
+        written(backend, attempt, status);
+    });
 }
 
-void DepartureRecorder::written(const BackendLifetime &backend, const absl::Status &status)
+void DepartureRecorder::written(const BackendLifetime &backend, std::uint32_t attempt,
+                                const absl::Status &status)
 {
     const auto found = m_pending.find(backend);
     if (found == m_pending.end())
         return;
-    Pending &pending = found->second;
-    pending.writing = false;
     if (status.ok()) {
         departureRead(backend);
         return;
     }
+    Pending &pending = found->second;
     logEvent(Event::DepartureNotRecorded, {{"backend", backend.id},
                                            {"started_at", backend.startedAt},
+                                           {"attempt", attempt},
                                            {"reason", std::string(status.message())}});
+    if (attempt != pending.attempts)
+        return;
     if (m_timers.now() - pending.since >= m_options.giveUpTime) {
         m_pending.erase(found);
         return;
     }
-    const std::chrono::milliseconds delay =
-            pending.retryDelay / 2 + m_random.jitter(pending.retryDelay);
-    pending.retryDelay = std::min(pending.retryDelay * 2, m_options.maxRetryDelay);
-    pending.retryTimer =
-            Timer(m_timers, m_timers.startOnce(delay, [this, backend] { retry(backend); }));
-}
-
-void DepartureRecorder::retry(BackendLifetime backend)
-{
-    m_pending[backend].retryTimer.stop();
-    write(backend);
+    const std::chrono::milliseconds delay = backOff(m_options.minRetryDelay, pending);
+    pending.retryTimer = Timer(m_timers, m_timers.startOnce(delay / 2 + m_random.jitter(delay),
+                                                            [this, backend] { write(backend); }));
 }
 
 bool DepartureRecorder::departureRead(const BackendLifetime &backend)
@@ -141,7 +147,7 @@
 void DepartureRecorder::registerRestored()
 {
     for (const BackendLifetime &backend : std::exchange(m_recorded, {})) {
-        if (!addPending(backend).writing)
+        if (addPending(backend).attempts == 0)
             write(backend);
     }
 }
--- a/modules/owner/departure_recorder.h
+++ b/modules/owner/departure_recorder.h
@@ -19,7 +19,9 @@
 {
     /** A backend server waits a second for the acknowledgement of its departure. */
     std::chrono::milliseconds answerTimeout{800};
-    /** Pauses between attempts to write a departure, doubled after each. */
+    /** An attempt without an answer for this long is followed by another one; doubled for each. */
+    std::chrono::milliseconds attemptTimeout{400};
+    /** Pauses after attempts that have failed, doubled for each. */
     std::chrono::milliseconds minRetryDelay{200};
     std::chrono::milliseconds maxRetryDelay{3'200};
     /** After it the backend server has ended, and no heartbeat of it is on its way any more. */
@@ -49,9 +51,8 @@
     struct Pending
     {
         SteadyTime since;
-        std::chrono::milliseconds retryDelay{0};
-        bool writing = false;
-        Timer retryTimer;
+        std::uint32_t attempts = 0;
+        Timer retryTimer; ///< Of the last attempt or the pause after it.
         std::map<std::uint64_t, Waiter> waiters;
     };
 
@@ -68,9 +69,11 @@
     bool takeFromLimit();
     bool isRecorded(const BackendLifetime &backend) const;
     Pending &addPending(const BackendLifetime &backend);
-    void write(const BackendLifetime &backend);
-    void retry(BackendLifetime backend);
-    void written(const BackendLifetime &backend, const absl::Status &status);
+    /** Returns a time doubled for each attempt but the first, up to the longest delay. */
+    std::chrono::milliseconds backOff(std::chrono::milliseconds first,
+                                      const Pending &pending) const;
+    void write(BackendLifetime backend);
+    void written(const BackendLifetime &backend, std::uint32_t attempt, const absl::Status &status);
     void giveUpWaiting(const BackendLifetime &backend, std::uint64_t waiter);
 
 public:
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -788,7 +788,7 @@
     };
     addTask("requests", workLimit, [this] { return callerServer.openRequests(); });
     addTask("work", workLimit, [this] { return owner.openRequests(); });
-    addTask("results", deliveryLimit, [this] { return callServer.undelivered(); });
+    addTask("results", deliveryLimit, [this] { return callServer.unfinishedCalls(); });
     shutdown.addTask(
             {.name = "responses", .limit = deliveryLimit, .unfinished = [this] {
                  const UndeliveredResponses responses = callerServer.undeliveredResponses();
