Soak: slow readers, departures with late heartbeats before kills of all, planned work alone

Cause: both faults of the review lay where the soak stopped early: callers read at once, and backend servers stayed when all processes were lost. Planned stops were judged only in the rare moments without another fault.

--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <csignal>
 #include <cstdint>
 #include <functional>
 #include <list>
@@ -20,6 +21,7 @@
 #include "tests/soak/fault_plan.h"
 #include "tests/soak/invariants.h"
 #include "tests/soak/observation_log.h"
+#include "tests/soak/slow_caller.h"
 #include "tests/soak/soak_backend.h"
 #include "tests/soak/soak_store.h"
 #include "tests/support/child_process.h"
@@ -35,6 +37,8 @@
     std::size_t domainCount = 3;                         ///< Failure domains.
     std::size_t nodesPerDomain = 3;
     double requestsPerSecond = 250.0; ///< Of all callers together.
+    bool plannedOnly = false;         ///< Injects planned operations alone.
+    std::size_t slowCallers = 6;      ///< Callers that read long responses slowly.
     std::string binaryDirectory;      ///< Of the programs that the soak starts.
 };
 
@@ -58,6 +62,8 @@
         int missedProbes = 2;
         bool expectedToEnd = false; ///< The soak killed it or asked it to stop.
         bool stopping = false;      ///< The soak has sent SIGTERM.
+        bool wasReady = false;      ///< Its current process has answered a readiness probe.
+        SteadyTime startedAt;       ///< Of its current process.
         SteadyTime stopSentAt;
         std::size_t stopDisturbance = 0;             ///< Index of its stop among the disturbances.
         Timer resumeTimer;                           ///< Ends a freeze.
@@ -65,6 +71,15 @@
         SteadyTime::duration frozenWhileStopping{0}; ///< By freezes that have ended.
         Timer restartTimer;
 
+        /**
+         * Returns whether it was told to stop before it could handle signals, which ends it at once
+         * with the signal's status.
+         */
+        bool wasStoppedWhileStarting() const
+        {
+            return stopping && !wasReady && stopSentAt - startedAt < std::chrono::seconds(1)
+                   && process.exitCode() == 128 + SIGTERM;
+        }
         /** Returns how long it has been able to run since SIGTERM; a frozen node cannot end. */
         SteadyTime::duration ranSinceStop(SteadyTime now) const
         {
@@ -112,7 +127,10 @@
     bool m_relayRequestInFlight = false;
     std::uint64_t m_configVersion = 0; ///< Of the newest published configuration.
     std::uint64_t m_lastRequestId = 0;
+    std::vector<std::unique_ptr<SlowCaller>> m_slowCallers;
+    std::uint64_t m_lastSlowId = 0;
     std::size_t m_activeBursts = 0; ///< Overlapping burst faults.
+    std::size_t m_pendingSteps = 0; ///< Of operations on all nodes in turn.
     double m_dueRequests = 0.0;     ///< Requests due but not sent yet, with fractions.
     SteadyTime m_startedAt;
     SteadyTime m_lastTick;
@@ -143,9 +161,15 @@
     /** Watches the nodes and sends the requests that are due. */
     void tick();
     void send(SoakNode &node, const CallerRoute &callerRoute, bool mayCancel);
+    /** Lets each idle slow caller send a request to one of the nodes. */
+    void sendSlowly(const std::vector<SoakNode *> &readyNodes);
+    CallerRequest makeRecord(const SoakNode &node, const TrafficRoute &route, const std::string &id,
+                             std::chrono::milliseconds timeout) const;
 
     // Faults.
     void schedule(std::chrono::milliseconds delay, std::function<void()> action);
+    /** Schedules a step of an operation that may go on after the injection of faults has ended. */
+    void scheduleStep(std::chrono::milliseconds delay, std::function<void()> action);
     void beginFault(const Fault &fault);
     void recordDisturbance(const Fault &fault, std::optional<std::size_t> node);
     void beginNodeFault(const Fault &fault);
@@ -154,6 +178,7 @@
     void beginBackendFault(const Fault &fault);
     void beginOperatorAction(const Fault &fault);
     void kill(SoakNode &node);
+    void killAllAfterDeparture(const Fault &fault);
     void freeze(SoakNode &node, std::chrono::milliseconds duration);
     void unfreeze(SoakNode &node);
     void stop(SoakNode &node);
@@ -162,6 +187,8 @@
     /** Adds a rule to the list for the duration of the fault. */
     void addRelayRule(const Fault &fault, nlohmann::json &rules, const nlohmann::json &rule);
 
+    /** Returns whether all operations have ended and all backend servers are in service. */
+    bool areOperationsOver() const;
     /** Checks that nodes and requests work again some time after all faults have ended. */
     void checkRecovery();
     /** Records a violation that is found while the soak runs. */
--- a/tests/support/slow_reader.cpp
+++ b/tests/support/slow_reader.cpp
@@ -34,6 +34,22 @@
     return descriptor;
 }
 
+/** Returns the header lines of a head. */
+std::vector<HttpHeader> parseHeaders(std::string_view head)
+{
+    std::vector<HttpHeader> headers;
+    for (std::size_t at = head.find("\r\n"); at != std::string_view::npos;) {
+        const std::size_t end = head.find("\r\n", at + 2);
+        const std::string_view line = head.substr(at + 2, end - at - 2);
+        const std::size_t colon = line.find(": ");
+        if (colon != std::string_view::npos)
+            headers.push_back({.name = std::string(line.substr(0, colon)),
+                               .value = std::string(line.substr(colon + 2))});
+        at = end;
+    }
+    return headers;
+}
+
 } // namespace
 
 SlowReader::SlowReader(const SlowReaderOptions &options, TimerService &timers)
@@ -87,6 +103,7 @@
         const std::size_t bodyAt = headEnd + EndOfHead.size();
         if (input.size() < bodyAt + bytes)
             return found;
+        response.headers = parseHeaders(input.substr(0, headEnd));
         response.body = std::string(input.substr(bodyAt, bytes));
         found.push_back(std::move(response));
         input.remove_prefix(bodyAt + bytes);
--- a/tests/support/slow_reader.h
+++ b/tests/support/slow_reader.h
@@ -9,6 +9,7 @@
 
 #include "core/endpoint.h"
 #include "drivers/tcp/tcp_socket.h"
+#include "servers/http_message.h"
 #include "servers/timer_service.h"
 
 namespace jacinthshift {
@@ -27,6 +28,7 @@
     struct Response
     {
         int status = 0;
+        std::vector<HttpHeader> headers;
         std::string body;
     };
 
