Lint: parameters by reference, copies and results that are not used

Change: write() of DepartureRecorder takes a reference, as the loop calls a copy of a callback that may stop its own timer; late heartbeats of the soak keep their timers in a bounded queue instead of erasing them in their own callbacks; a slow reader that cannot connect closes its socket.

--- a/modules/owner/departure_recorder.cpp
+++ b/modules/owner/departure_recorder.cpp
@@ -87,7 +87,7 @@
     return std::min(first * (1U << doublings), m_options.maxRetryDelay);
 }
 
-void DepartureRecorder::write(BackendLifetime backend)
+void DepartureRecorder::write(const BackendLifetime &backend)
 {
     Pending &pending = addPending(backend);
     const std::uint32_t attempt = ++pending.attempts;
--- a/modules/owner/departure_recorder.h
+++ b/modules/owner/departure_recorder.h
@@ -72,7 +72,7 @@
     /** Returns a time doubled for each attempt but the first, up to the longest delay. */
     std::chrono::milliseconds backOff(std::chrono::milliseconds first,
                                       const Pending &pending) const;
-    void write(BackendLifetime backend);
+    void write(const BackendLifetime &backend);
     void written(const BackendLifetime &backend, std::uint32_t attempt, const absl::Status &status);
     void giveUpWaiting(const BackendLifetime &backend, std::uint64_t waiter);
 
--- a/modules/owner/tests/test_departures.cpp
+++ b/modules/owner/tests/test_departures.cpp
@@ -46,16 +46,20 @@
 {
     SECTION("heartbeats are up to ten seconds late, the log answers")
     {
-        CHECK(playSeeds({}) == "");
+        const std::string violation = playSeeds({});
+        CAPTURE(violation);
+        CHECK(violation.empty());
     }
     SECTION("the log is away at times; heartbeats are late by less than the time to confirm one")
     {
-        CHECK(playSeeds({.maxLateness = BackendRegistrationOptions().confirmTime, .logFails = true})
-              == "");
+        const std::string violation = playSeeds(
+                {.maxLateness = BackendRegistrationOptions().confirmTime, .logFails = true});
+        CAPTURE(violation);
+        CHECK(violation.empty());
     }
     SECTION("the model finds a node that only remembers departures")
     {
-        CHECK(playSeeds({.recordsDepartures = false}) != "");
+        CHECK_FALSE(playSeeds({.recordsDepartures = false}).empty());
     }
 }
 
--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -120,9 +120,9 @@
 
 std::vector<Fault> drawFaults(std::uint64_t seed, std::chrono::milliseconds injectionDuration)
 {
-    std::vector<FaultKind> kinds;
+    std::vector<FaultKind> kinds(DrawnKindCount);
     for (int kind = 0; kind < DrawnKindCount; ++kind)
-        kinds.push_back(static_cast<FaultKind>(kind));
+        kinds[static_cast<std::size_t>(kind)] = static_cast<FaultKind>(kind);
     return drawPlan(seed, injectionDuration, kinds);
 }
 
--- a/tests/soak/soak_backend.cpp
+++ b/tests/soak/soak_backend.cpp
@@ -25,6 +25,7 @@
 constexpr std::size_t BodyBytes = 600;
 constexpr std::size_t LongBodyBytes = 250'000; ///< For callers that read slowly.
 constexpr std::uint64_t LateHeartbeatOneIn = 6;
+constexpr std::size_t MaxLateHeartbeats = 64;
 /** The product bears more if it can read the store when it starts. */
 constexpr std::chrono::milliseconds MaxHeartbeatDelay{2'900};
 /** How long a backend server that has left may serve on beyond DrainDuration. */
@@ -94,16 +95,14 @@
         transmit(request, m_id, draining);
         return;
     }
-    const std::uint64_t number = ++m_lastLateHeartbeat;
-    m_lateHeartbeats[number] =
+    m_lateHeartbeats.push_back(
             Timer(m_timers, m_timers.startOnce(m_departureRandom.jitter(MaxHeartbeatDelay),
-                                               [this, number, request, id = m_id, draining] {
-                                                   const HttpRequest late = request;
-                                                   const std::string sender = id;
-                                                   const bool drains = draining;
-                                                   m_lateHeartbeats.erase(number);
-                                                   transmit(late, sender, drains);
-                                               }));
+                                               [this, request, id = m_id, draining] {
+                                                   transmit(request, id, draining);
+                                               })));
+    // The oldest one has arrived long ago.
+    if (m_lateHeartbeats.size() > MaxLateHeartbeats)
+        m_lateHeartbeats.pop_front();
 }
 
 void SoakBackend::transmit(const HttpRequest &heartbeat, const std::string &id, bool draining)
--- a/tests/soak/soak_backend.h
+++ b/tests/soak/soak_backend.h
@@ -74,8 +74,7 @@
     bool m_drainAcknowledged = false;
     Random m_departureRandom; ///< For late heartbeats and ways of leaving, apart from the other
                               ///< one.
-    std::map<std::uint64_t, Timer> m_lateHeartbeats; ///< They arrive even if the server has ended.
-    std::uint64_t m_lastLateHeartbeat = 0;
+    std::deque<Timer> m_lateHeartbeats; ///< They arrive even if the server has ended.
     std::function<void()> m_departureAcknowledged;
 
     bool isCold() const { return m_timers.now() < m_coldUntil; }
--- a/tests/support/slow_reader.cpp
+++ b/tests/support/slow_reader.cpp
@@ -5,6 +5,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "core/text.h"
 
@@ -29,7 +30,10 @@
     remote.sin_port = htons(server.port);
     inet_pton(AF_INET, server.address.c_str(), &remote.sin_addr);
     // A connection over the loopback interface is accepted or refused at once.
-    connect(descriptor, reinterpret_cast<const sockaddr *>(&remote), sizeof remote);
+    if (connect(descriptor, reinterpret_cast<const sockaddr *>(&remote), sizeof remote) != 0) {
+        close(descriptor);
+        return -1;
+    }
     fcntl(descriptor, F_SETFL, O_NONBLOCK);
     return descriptor;
 }
