Forwarding: a late owner is not a lost one

Callers saw 502 for idempotent requests, with time left, while a backend server ran them; the run was then cancelled.

Cause: a call was given up when its owner's node had been silent for 0.1 s beyond the timeout of a probe, whether another attempt could be made or not. A node on a tenth of a core is silent that long when it is busy. The retry budget of a node in a large mesh holds about one token, so often no attempt followed and the caller got 502.

Change: a silent node no longer ends a call. The forwarder is told that the owner is suspected, again with each check, and replaces the attempt if the request may be repeated, the budget has a token and another owner is eligible. Otherwise it waits: the response that arrives until the deadline wins. The budget is asked only if there is such an owner. A process that has been replaced, and a link that has been away for 0.7 s, still end a call.

Why it works: an attempt with an open link ends only by its result, by the attempt that replaces it, or by the deadline.

Tests: "late owner" in test_forwarder failed before (502 instead of the owner's 200, in three sections; 502 instead of 504 at the deadline). Two cases of test_remote_calls asserted that the client itself ends such calls; they now assert that the owner is suspected within the same time, and that a call cancelled for it is cancelled at the owner over the next link.

--- a/modules/fleet/remote_call_client.cpp
+++ b/modules/fleet/remote_call_client.cpp
@@ -25,13 +25,15 @@
     return id;
 }
 
-std::uint64_t RemoteCallClient::call(const std::string &node, WorkRequest work, Callback callback)
+std::uint64_t RemoteCallClient::call(const std::string &node, WorkRequest work, Callback callback,
+                                     SuspectCallback ownerSuspected)
 {
     const FleetPeer *peer = m_network.peer(node);
     const std::uint64_t id =
             addCall(Call{.node = node,
                          .incarnation = peer == nullptr ? 0 : peer->contact.incarnation,
                          .callback = std::move(callback),
+                         .ownerSuspected = std::move(ownerSuspected),
                          .idempotent = work.idempotent});
     PartedBody body{.lease = work.request.lease};
     if (work.request.body.size() > m_options.maxInlineBodyBytes)
@@ -66,7 +68,13 @@
     return {.node = node, .process = ownProcess(), .number = call};
 }
 
-WorkResult RemoteCallClient::lostResult(const std::string &node, std::uint64_t call)
+WorkResult RemoteCallClient::resultIfCancelled(std::uint64_t call) const
+{
+    const auto found = m_calls.find(call);
+    return found == m_calls.end() ? WorkResult() : lostResult(found->second.node, call);
+}
+
+WorkResult RemoteCallClient::lostResult(const std::string &node, std::uint64_t call) const
 {
     // The owner starts a request once its whole body has arrived.
     if (m_parts.isSending(transferKey(node, call)))
@@ -104,14 +112,25 @@
         return;
     }
     std::vector<std::uint64_t> lost;
+    std::vector<std::uint64_t> suspect;
     for (auto &[id, call] : m_calls) {
-        if (hasTimedOut(call))
+        if (hasLostLink(call))
             lost.push_back(id);
+        else if (isOwnerSuspect(call))
+            suspect.push_back(id);
         else if (call.partialResult != nullptr && call.lease == nullptr)
             makeRoom(id, call);
     }
     for (const std::uint64_t id : lost)
         giveUp(id);
+    for (const std::uint64_t id : suspect) {
+        const auto found = m_calls.find(id);
+        if (found == m_calls.end())
+            continue;
+        // The callback may cancel the call and make another one.
+        const SuspectCallback ownerSuspected = found->second.ownerSuspected;
+        ownerSuspected();
+    }
 }
 
 void RemoteCallClient::giveUp(std::uint64_t call)
@@ -124,17 +143,22 @@
     finish(call, lostResult(found->second.node, call));
 }
 
-bool RemoteCallClient::hasTimedOut(const Call &call)
+bool RemoteCallClient::hasLostLink(const Call &call) const
+{
+    return call.linkLostAt != SteadyTime()
+           && m_timers.now() - call.linkLostAt > m_options.linkLossTimeout;
+}
+
+bool RemoteCallClient::isOwnerSuspect(const Call &call)
 {
-    const SteadyTime now = m_timers.now();
     if (call.linkLostAt != SteadyTime())
-        return now - call.linkLostAt > m_options.linkLossTimeout;
+        return false;
     m_network.probe(call.node);
     const FleetPeer *peer = m_network.peer(call.node);
     // A call that is not idempotent keeps waiting for the owner's result, since a retry elsewhere
     // could run the request twice.
-    return call.idempotent && peer != nullptr && peer->silent
-           && now - peer->silentSince > m_options.silentNodeTimeout;
+    return call.idempotent && call.ownerSuspected != nullptr && peer != nullptr && peer->silent
+           && m_timers.now() - peer->silentSince > m_options.silentNodeTimeout;
 }
 
 void RemoteCallClient::resume(const std::string &node)
--- a/modules/fleet/remote_call_client.h
+++ b/modules/fleet/remote_call_client.h
@@ -14,7 +14,7 @@
 {
     /** How long a call waits for a new link after its link was lost before it fails. */
     std::chrono::milliseconds linkLossTimeout{700};
-    /** How long an idempotent call waits for a silent node before it fails and can be retried. */
+    /** How long an idempotent call waits for a silent node before its owner is suspected. */
     std::chrono::milliseconds silentNodeTimeout{100};
     /** How often calls are checked for these timeouts. */
     std::chrono::milliseconds checkPeriod{50};
@@ -34,12 +34,13 @@
  *
  * A call is bound to the owner's process, not to a connection: when a link is lost or goes silent,
  * its result is requested over the next one. A lost connection thus delays a request but does not
- * fail it.
+ * fail it. A node that is silent may only be late, so its calls go on until they are cancelled.
  */
 class RemoteCallClient final : public FleetObserver
 {
 public:
     using Callback = std::function<void(const WorkResult &)>;
+    using SuspectCallback = std::function<void()>;
 
 private:
     struct Call
@@ -47,6 +48,7 @@
         std::string node;
         std::uint64_t incarnation = 0; ///< Incarnation of the owner's process.
         Callback callback;
+        SuspectCallback ownerSuspected;
         SteadyTime linkLostAt; ///< When the last link was lost; zero while there is one.
         bool idempotent = false;
         /** A result whose body arrives in parts, with the parts received so far. */
@@ -69,13 +71,15 @@
     /** Adds a call and returns its id. */
     std::uint64_t addCall(Call call);
     void checkCalls();
-    /** Returns whether a call must fail. Probes its node if that has sent nothing lately. */
-    bool hasTimedOut(const Call &call);
+    /** Returns whether a call has been without a link for too long. */
+    bool hasLostLink(const Call &call) const;
+    /** Returns whether a call's node is silent. Probes it if it has sent nothing lately. */
+    bool isOwnerSuspect(const Call &call);
     void sendCancel(const std::string &node, std::uint64_t call);
     /** Identifies the transfer of a call's request body. */
     CallKey transferKey(const std::string &node, std::uint64_t call) const;
     /** Returns the result of a call that its owner does not answer. */
-    WorkResult lostResult(const std::string &node, std::uint64_t call);
+    WorkResult lostResult(const std::string &node, std::uint64_t call) const;
     /**
      * Takes room for a body that follows in parts, and asks for a long one. It is tried again with
      * each check. Returns false if there is none now.
@@ -98,11 +102,15 @@
     /**
      * Sends a request to the owner on a node and returns the call's id. The callback runs once,
      * after this function has returned, unless the call is cancelled. If the node has no link, the
-     * result is NotRun.
+     * result is NotRun. For an idempotent request, ownerSuspected runs repeatedly while the node is
+     * silent; it may cancel the call.
      */
-    std::uint64_t call(const std::string &node, WorkRequest work, Callback callback);
+    std::uint64_t call(const std::string &node, WorkRequest work, Callback callback,
+                       SuspectCallback ownerSuspected = nullptr);
     /** Cancels a call; its callback will not run. The owner is asked to stop the request. */
     void cancel(std::uint64_t call);
+    /** Returns the result of an open call if it were cancelled now. */
+    WorkResult resultIfCancelled(std::uint64_t call) const;
     /** Returns the number of calls that wait for a result from a node. */
     std::uint32_t outstanding(const std::string &node) const;
 
--- a/modules/forwarding/forwarder.cpp
+++ b/modules/forwarding/forwarder.cpp
@@ -182,11 +182,11 @@
             request.arrivedAt + std::clamp(target - spent, std::chrono::milliseconds(0), timeout);
 }
 
-OwnerQuery Forwarder::ownerQuery(const Request &request) const
+OwnerQuery Forwarder::ownerQuery(const Request &request, const VersionChoice &version) const
 {
     const bool triedOwnDomain = request.ownerAttempts > request.otherDomainAttempts;
     return {.service = request.service,
-            .version = request.version,
+            .version = version,
             .triedNodes = request.triedNodes,
             .ownDomainOnly =
                     triedOwnDomain
@@ -195,7 +195,8 @@
 
 std::optional<OwnerCandidate> Forwarder::chooseOwner(Request &request)
 {
-    const std::vector<OwnerCandidate> candidates = m_owners.candidates(ownerQuery(request));
+    const std::vector<OwnerCandidate> candidates =
+            m_owners.candidates(ownerQuery(request, request.version));
     const std::optional<std::size_t> best = m_selector.choose(
             candidates,
             SelectionContext{.targetTimeLeft = remainingTime(m_timers.now(), request.targetAt),
@@ -298,10 +299,28 @@
         if (request->ownerAttempts == ownerAttempt && request->owner == m_options.node)
             request->callId = callId;
     } else {
-        request->callId = m_remote.call(owner->node, std::move(work), callback);
+        request->callId = m_remote.call(owner->node, std::move(work), callback, [this, weak] {
+            if (const RequestPointer active = weak.lock())
+                ownerSuspected(active);
+        });
     }
 }
 
+void Forwarder::ownerSuspected(const RequestPointer &request)
+{
+    const WorkResult lost = m_remote.resultIfCancelled(request->callId);
+    const std::uint32_t backendsReached = request->backendsReached + (lost.reachedBackend ? 1 : 0);
+    if (request->ownerAttempts >= m_options.maxOwnerAttempts
+        || !isRetryable(*request, lost, backendsReached))
+        return;
+    const VersionChoice version = versionForRetry(*request, lost);
+    if (m_owners.candidates(ownerQuery(*request, version)).empty()
+        || (lost.reachedBackend && !m_budgets.canConsume(request->service)))
+        return;
+    m_remote.cancel(request->callId);
+    attemptEnded(request, lost);
+}
+
 void Forwarder::recordAttempt(Request &request, const WorkResult &result) const
 {
     const auto elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -348,14 +367,20 @@
                                      {"after", refusalName(result.refusal)},
                                      {"verdict", verdictName(result.verdict)},
                                      {"try", request->ownerAttempts}});
-    // The retry excludes a new version that has just failed, if another version is allowed.
-    if (request->version.allowFallback && result.reachedBackend)
-        request->version = VersionChoice{.requiredVersion = "",
-                                         .excludedVersion = request->version.requiredVersion};
+    request->version = versionForRetry(*request, result);
     tryNextOwner(request);
 }
 
-bool Forwarder::mayRetry(Request &request, const WorkResult &result)
+VersionChoice Forwarder::versionForRetry(const Request &request, const WorkResult &result)
+{
+    // The retry excludes a new version that has just failed, if another version is allowed.
+    if (request.version.allowFallback && result.reachedBackend)
+        return {.requiredVersion = "", .excludedVersion = request.version.requiredVersion};
+    return request.version;
+}
+
+bool Forwarder::isRetryable(const Request &request, const WorkResult &result,
+                            std::uint32_t backendsReached) const
 {
     const SteadyTime now = m_timers.now();
     if (remainingTime(now, request.deadline) < m_options.minTimeForRetry)
@@ -366,11 +391,16 @@
     const bool mayHaveRun = result.verdict != Verdict::NotRun;
     if (mayHaveRun && !request.idempotent)
         return false;
-    if (!result.reachedBackend)
-        return true;
     // The retry may reach another backend server, so it counts towards the operator's limits.
-    if (request.backendsReached >= request.maxAttempts)
+    return !result.reachedBackend || backendsReached < request.maxAttempts;
+}
+
+bool Forwarder::mayRetry(const Request &request, const WorkResult &result)
+{
+    if (!isRetryable(request, result, request.backendsReached))
         return false;
+    if (!result.reachedBackend)
+        return true;
     if (!m_budgets.tryConsume(request.service)) {
         m_metrics.retryDenied();
         return false;
@@ -395,7 +425,8 @@
     }
     const bool anyOwnerAsked = request->ownerAttempts > 0;
     if (request->ownerAttempts < m_options.maxOwnerAttempts)
-        request->excludedOwners = m_owners.describeExcludedOwners(ownerQuery(*request));
+        request->excludedOwners =
+                m_owners.describeExcludedOwners(ownerQuery(*request, request->version));
     const bool hasReason = anyOwnerAsked || request->lastRefusal != WorkRefusal::None;
     const std::string_view reason = hasReason ? refusalName(request->lastRefusal) : "no-owner";
     const std::chrono::milliseconds retryAfter =
--- a/modules/forwarding/forwarder.h
+++ b/modules/forwarding/forwarder.h
@@ -139,7 +139,7 @@
      */
     bool admitKey(Request &request, const TrafficRoute &route);
     void setDeadlines(Request &request, const TrafficRoute &route);
-    OwnerQuery ownerQuery(const Request &request) const;
+    OwnerQuery ownerQuery(const Request &request, const VersionChoice &version) const;
     std::optional<OwnerCandidate> chooseOwner(Request &request);
     void tryNextOwner(const RequestPointer &request);
     /** Adds the outcome of the current attempt to Request::attemptOutcomes. */
@@ -151,7 +151,21 @@
     bool hasLargeResponse(const Request &request) const;
     WorkRequest makeWorkRequest(const Request &request) const;
     void attemptEnded(const RequestPointer &request, const WorkResult &result);
-    bool mayRetry(Request &request, const WorkResult &result);
+    /**
+     * Replaces the current attempt of a request, whose owner is late or lost, by one at another
+     * owner. Without one the request keeps waiting, as the late response is better than none.
+     */
+    void ownerSuspected(const RequestPointer &request);
+    /**
+     * Returns whether a request may be sent again after an attempt with this result, apart from the
+     * retry budget. The number of backend servers reached includes that attempt.
+     */
+    bool isRetryable(const Request &request, const WorkResult &result,
+                     std::uint32_t backendsReached) const;
+    /** Returns the same within the retry budget, from which it takes the retry. */
+    bool mayRetry(const Request &request, const WorkResult &result);
+    /** Returns the versions for a request whose attempt has ended with this result. */
+    static VersionChoice versionForRetry(const Request &request, const WorkResult &result);
     void callerGone(const RequestPointer &request);
     /** Cancels the current attempt and records whether it may have run. */
     void cancelCall(Request &request);
