Forwarding: a late attempt goes on beside the one that replaces it

Cause: the late attempt was cancelled when the other one was made. If the other owner refused or failed the request, nothing was left of either.

Change: the late attempt stays open beside the other one, one of them at a time. The first response that is no server error answers the caller and cancels the other attempt; a failure of one leaves the other. Both end at the deadline and when the caller leaves. The late attempt counts as a server reached and takes a token of the retry budget, as before.

Why it works: an attempt that may bring a response is cancelled only when a response is there, or nobody waits for one.

Tests: "late owner: its response counts if the other owner refuses or fails the request" failed before (no late response after the refusal: 502). The others cover that the first response ends the other attempt, and callers that leave.

--- a/modules/fleet/part_sender.cpp
+++ b/modules/fleet/part_sender.cpp
@@ -46,12 +46,6 @@
     });
 }
 
-bool PartSender::isSending(const CallKey &call) const
-{
-    return std::any_of(m_transfers.begin(), m_transfers.end(),
-                       [&call](const Transfer &transfer) { return transfer.call == call; });
-}
-
 PartSender::Transfers::iterator PartSender::find(const CallKey &call)
 {
     return std::find_if(m_transfers.begin(), m_transfers.end(),
--- a/modules/fleet/part_sender.h
+++ b/modules/fleet/part_sender.h
@@ -103,7 +103,7 @@
     /** Stops sending the body of a call. */
     void cancel(const CallKey &call);
     /** Returns whether the body of a call has not been sent as a whole. */
-    bool isSending(const CallKey &call) const;
+    bool isSending(const CallKey &call) { return find(call) != m_transfers.end(); }
     /** Returns the number of bodies that have not been sent as a whole. */
     std::size_t transferCount() const { return m_transfers.size(); }
     /** Returns the bytes that have not been sent yet, without those of transfers that wait. */
--- a/modules/fleet/remote_call_client.cpp
+++ b/modules/fleet/remote_call_client.cpp
@@ -68,13 +68,7 @@
     return {.node = node, .process = ownProcess(), .number = call};
 }
 
-WorkResult RemoteCallClient::resultIfCancelled(std::uint64_t call) const
-{
-    const auto found = m_calls.find(call);
-    return found == m_calls.end() ? WorkResult() : lostResult(found->second.node, call);
-}
-
-WorkResult RemoteCallClient::lostResult(const std::string &node, std::uint64_t call) const
+WorkResult RemoteCallClient::lostResult(const std::string &node, std::uint64_t call)
 {
     // The owner starts a request once its whole body has arrived.
     if (m_parts.isSending(transferKey(node, call)))
--- a/modules/fleet/remote_call_client.h
+++ b/modules/fleet/remote_call_client.h
@@ -79,7 +79,7 @@
     /** Identifies the transfer of a call's request body. */
     CallKey transferKey(const std::string &node, std::uint64_t call) const;
     /** Returns the result of a call that its owner does not answer. */
-    WorkResult lostResult(const std::string &node, std::uint64_t call) const;
+    WorkResult lostResult(const std::string &node, std::uint64_t call);
     /**
      * Takes room for a body that follows in parts, and asks for a long one. It is tried again with
      * each check. Returns false if there is none now.
@@ -109,8 +109,6 @@
                        SuspectCallback ownerSuspected = nullptr);
     /** Cancels a call; its callback will not run. The owner is asked to stop the request. */
     void cancel(std::uint64_t call);
-    /** Returns the result of an open call if it were cancelled now. */
-    WorkResult resultIfCancelled(std::uint64_t call) const;
     /** Returns the number of calls that wait for a result from a node. */
     std::uint32_t outstanding(const std::string &node) const;
 
--- a/modules/forwarding/forwarder.cpp
+++ b/modules/forwarding/forwarder.cpp
@@ -1,6 +1,7 @@
 #include "modules/forwarding/forwarder.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "core/logger.h"
 #include "core/text.h"
@@ -263,7 +264,7 @@
                                                         ? chooseOwner(*request)
                                                         : std::nullopt;
     if (!owner) {
-        answerFailure(request);
+        attemptsUsedUp(request);
         return;
     }
     ++request->ownerAttempts;
@@ -288,37 +289,78 @@
                                   {"age_ms", owner->statusAge.count()},
                                   {"left_ms", work.timeLeft.count()}});
     const std::weak_ptr<Request> weak = request;
-    const auto callback = [this, weak](const WorkResult &result) {
-        if (const RequestPointer active = weak.lock())
+    const std::uint32_t ownerAttempt = request->ownerAttempts;
+    const auto callback = [this, weak, ownerAttempt](const WorkResult &result) {
+        const RequestPointer active = weak.lock();
+        if (active == nullptr)
+            return;
+        if (active->lateAttempt == ownerAttempt)
+            lateAttemptEnded(active, result);
+        else
             attemptEnded(active, result);
     };
     if (owner->node == m_options.node) {
         // The local owner may answer before run() returns; the returned call id is then obsolete.
-        const std::uint32_t ownerAttempt = request->ownerAttempts;
         const std::uint64_t callId = m_local.run(work, callback);
         if (request->ownerAttempts == ownerAttempt && request->owner == m_options.node)
             request->callId = callId;
     } else {
-        request->callId = m_remote.call(owner->node, std::move(work), callback, [this, weak] {
-            if (const RequestPointer active = weak.lock())
+        const auto suspected = [this, weak, ownerAttempt] {
+            const RequestPointer active = weak.lock();
+            if (active != nullptr && active->ownerAttempts == ownerAttempt
+                && active->lateAttempt == 0)
                 ownerSuspected(active);
-        });
+        };
+        request->callId = m_remote.call(owner->node, std::move(work), callback, suspected);
     }
 }
 
 void Forwarder::ownerSuspected(const RequestPointer &request)
 {
-    const WorkResult lost = m_remote.resultIfCancelled(request->callId);
-    const std::uint32_t backendsReached = request->backendsReached + (lost.reachedBackend ? 1 : 0);
+    const WorkResult late{
+            .verdict = Verdict::MayHaveRun, .refusal = WorkRefusal::Lost, .reachedBackend = true};
+    const VersionChoice version = versionForRetry(*request, late);
     if (request->ownerAttempts >= m_options.maxOwnerAttempts
-        || !isRetryable(*request, lost, backendsReached))
+        || !isRetryable(*request, late, request->backendsReached + 1)
+        || m_owners.candidates(ownerQuery(*request, version)).empty()
+        || !m_budgets.tryConsume(request->service))
         return;
-    const VersionChoice version = versionForRetry(*request, lost);
-    if (m_owners.candidates(ownerQuery(*request, version)).empty()
-        || (lost.reachedBackend && !m_budgets.canConsume(request->service)))
+    m_metrics.requestRetried();
+    recordAttempt(*request, late);
+    logEvent(Event::RequestRetried, {{"request", request->requestId},
+                                     {"after", "late"},
+                                     {"verdict", verdictName(late.verdict)},
+                                     {"try", request->ownerAttempts}});
+    request->lateAttempt = request->ownerAttempts;
+    request->lateCallId = std::exchange(request->callId, 0);
+    request->owner.clear();
+    request->mayHaveRun = true;
+    ++request->backendsReached;
+    request->lastRefusal = late.refusal;
+    request->version = version;
+    tryNextOwner(request);
+}
+
+void Forwarder::lateAttemptEnded(const RequestPointer &request, const WorkResult &result)
+{
+    request->lateAttempt = 0;
+    const bool hasServed =
+            result.verdict == Verdict::Done && result.response.status < FirstServerError;
+    if (hasServed) {
+        cancelCall(*request);
+        answer(request, result.response, "answered");
         return;
-    m_remote.cancel(request->callId);
-    attemptEnded(request, lost);
+    }
+    if (result.verdict == Verdict::Done)
+        request->errorResponse = std::make_unique<HttpResponse>(result.response);
+    if (request->owner.empty())
+        answerFailure(request);
+}
+
+void Forwarder::attemptsUsedUp(const RequestPointer &request)
+{
+    if (request->lateAttempt == 0)
+        answerFailure(request);
 }
 
 void Forwarder::recordAttempt(Request &request, const WorkResult &result) const
@@ -348,6 +390,7 @@
         && (request->retryHint.count() == 0 || result.retryAfter < request->retryHint))
         request->retryHint = result.retryAfter;
     if (result.verdict == Verdict::Done && result.response.status < FirstServerError) {
+        cancelLateAttempt(*request);
         recordResponse(*request,
                        std::chrono::duration_cast<std::chrono::microseconds>(
                                m_timers.now() - request->attemptStartedAt),
@@ -360,7 +403,7 @@
         request->errorResponse = std::make_unique<HttpResponse>(result.response);
     }
     if (!mayRetry(*request, result)) {
-        answerFailure(request);
+        attemptsUsedUp(request);
         return;
     }
     logEvent(Event::RequestRetried, {{"request", request->requestId},
@@ -441,6 +484,7 @@
                       WorkResult{.verdict = Verdict::MayHaveRun, .refusal = WorkRefusal::TimedOut});
     }
     cancelCall(*request);
+    cancelLateAttempt(*request);
     request->lastRefusal = WorkRefusal::TimedOut;
     answerFailure(request);
 }
@@ -448,6 +492,7 @@
 void Forwarder::callerGone(const RequestPointer &request)
 {
     cancelCall(*request);
+    cancelLateAttempt(*request);
     m_metrics.callerGone();
     logEvent(Event::CallerGone,
              {{"request", request->requestId},
@@ -469,6 +514,14 @@
     request.owner.clear();
 }
 
+void Forwarder::cancelLateAttempt(Request &request)
+{
+    if (request.lateAttempt == 0)
+        return;
+    m_remote.cancel(request.lateCallId);
+    request.lateAttempt = 0;
+}
+
 void Forwarder::endOpenRequests()
 {
     const std::unordered_map<std::uint64_t, RequestPointer> open = m_requests;
--- a/modules/forwarding/forwarder.h
+++ b/modules/forwarding/forwarder.h
@@ -97,8 +97,10 @@
         std::uint32_t backendsReached = 0;     ///< Backend servers that received any bytes of it.
         bool mayHaveRun = false;
         SteadyTime attemptStartedAt;
-        std::string owner;        ///< Owner of the current attempt; empty if there is none.
-        std::uint64_t callId = 0; ///< Id of the current attempt at the local or remote owner.
+        std::string owner;             ///< Owner of the current attempt; empty if there is none.
+        std::uint64_t callId = 0;      ///< Id of the current attempt at the local or remote owner.
+        std::uint32_t lateAttempt = 0; ///< Number of the attempt whose owner is late; 0 if none.
+        std::uint64_t lateCallId = 0;  ///< Its id at the remote owner.
         std::chrono::milliseconds retryHint{0}; ///< Shortest Retry-After of the owners asked.
         WorkRefusal lastRefusal = WorkRefusal::None;
         std::unique_ptr<HttpResponse> errorResponse; ///< A backend server's last error response.
@@ -152,10 +154,13 @@
     WorkRequest makeWorkRequest(const Request &request) const;
     void attemptEnded(const RequestPointer &request, const WorkResult &result);
     /**
-     * Replaces the current attempt of a request, whose owner is late or lost, by one at another
-     * owner. Without one the request keeps waiting, as the late response is better than none.
+     * Makes another attempt for a request whose owner is late or lost, if that is allowed. The late
+     * attempt goes on, as its response is better than none if the other attempt fails.
      */
     void ownerSuspected(const RequestPointer &request);
+    void lateAttemptEnded(const RequestPointer &request, const WorkResult &result);
+    /** Answers a request after its last attempt, unless the response of a late owner may come. */
+    void attemptsUsedUp(const RequestPointer &request);
     /**
      * Returns whether a request may be sent again after an attempt with this result, apart from the
      * retry budget. The number of backend servers reached includes that attempt.
@@ -169,6 +174,7 @@
     void callerGone(const RequestPointer &request);
     /** Cancels the current attempt and records whether it may have run. */
     void cancelCall(Request &request);
+    void cancelLateAttempt(Request &request);
     /** Cancels the current attempt of a request that has no time left, and answers it. */
     void endForLackOfTime(const RequestPointer &request);
     /** Answers a request for which no further attempt is made. */
--- a/modules/forwarding/tests/test_forwarder.cpp
+++ b/modules/forwarding/tests/test_forwarder.cpp
@@ -398,6 +398,68 @@
     CHECK(answer->answers == 1);
 }
 
+// Guards against a 502 for a request that a backend server runs, as its late owner was given up for
+// another one that refused it.
+TEST_CASE("late owner: its response counts if the other owner refuses or fails the request")
+{
+    ForwarderBench bench;
+    bench.useLongRoutes();
+    bench.local.state.running = 1'000;
+    bench.local.answers = {GENERATE(overloaded, mayHaveRun)};
+    const auto answer = bench.send("/read/1");
+    bench.timers.advance(milliseconds(10));
+    REQUIRE(bench.remoteOwner.openCallbacks.size() == 1);
+    bench.silenceRemoteNode();
+    bench.timers.advance(milliseconds(1'800));
+    REQUIRE(bench.local.requests.size() == 1);
+    CHECK_FALSE(answer->response.has_value());
+    CHECK(bench.remoteOwner.cancelled == 0);
+    bench.remoteOwner.openCallbacks[0](done(200));
+    bench.hub.deliverHeldFrames();
+    bench.timers.advance(milliseconds(10));
+    REQUIRE(answer->response.has_value());
+    CHECK(answer->response->status == 200);
+    CHECK(bench.forwarder.openRequests() == 0);
+}
+
+TEST_CASE("late owner: its response ends the other attempt")
+{
+    ForwarderBench bench;
+    bench.useLongRoutes();
+    bench.local.state.running = 1'000;
+    const auto answer = bench.send("/read/1");
+    bench.timers.advance(milliseconds(10));
+    bench.silenceRemoteNode();
+    bench.timers.advance(milliseconds(1'800));
+    REQUIRE(bench.local.openCallbacks.size() == 1);
+    bench.remoteOwner.openCallbacks[0](done(200));
+    bench.hub.deliverHeldFrames();
+    bench.timers.advance(milliseconds(10));
+    REQUIRE(answer->response.has_value());
+    CHECK(answer->response->status == 200);
+    CHECK(bench.local.cancelled == 1);
+    bench.local.openCallbacks[0](done(200));
+    CHECK(answer->answers == 1);
+}
+
+TEST_CASE("late owner: when the caller leaves both attempts are cancelled")
+{
+    ForwarderBench bench;
+    bench.useLongRoutes();
+    bench.local.state.running = 1'000;
+    const auto answer = bench.send("/read/1");
+    bench.timers.advance(milliseconds(10));
+    bench.silenceRemoteNode();
+    bench.timers.advance(milliseconds(1'800));
+    REQUIRE(bench.local.openCallbacks.size() == 1);
+    answer->callerGone();
+    bench.hub.deliverHeldFrames();
+    bench.timers.advance(milliseconds(10));
+    CHECK(bench.local.cancelled == 1);
+    CHECK(bench.remoteOwner.cancelled == 1);
+    CHECK(bench.forwarder.openRequests() == 0);
+}
+
 TEST_CASE("late owner: a request whose owner answers nothing ends at its deadline")
 {
     ForwarderBench bench;
--- a/modules/routing/retry_budget.h
+++ b/modules/routing/retry_budget.h
@@ -36,11 +36,10 @@
         m_tokens = std::min(m_options.maxTokens, m_tokens + m_options.tokensPerRequest);
     }
 
-    bool canConsume() const { return m_tokens >= 1.0; }
     /** Consumes the token for one retry. Returns false if the budget is used up. */
     bool tryConsume()
     {
-        if (!canConsume())
+        if (m_tokens < 1.0)
             return false;
         m_tokens -= 1.0;
         return true;
