Event loop: an iteration handles input for a bounded time

What callers saw: a node whose links brought more frames than it could handle took no timer, no deferred callback and no signal for up to 3.9 s (LoopDelayed), so a stop's steps came seconds late or never and requests were cut at the end of the grace time.

Cause: EpollLoop::dispatch() handled all of up to 128 ready descriptors before timers, deferred callbacks and GLib's other sources (the signals among them) had their turn. A deferred callback that deferred another one, or a timer without delay that started another one, held the loop up without end.

Change: an iteration handles events for 10 ms at most, and the next one goes on with those that are left before it asks the kernel again: descriptors stay in turn and none is pending twice. What callbacks defer or start without delay waits for the next iteration. The cached time is brought up to date after each event.

--- a/drivers/epoll/epoll_loop.cpp
+++ b/drivers/epoll/epoll_loop.cpp
@@ -14,6 +14,8 @@
 
 constexpr int MaxEventsPerPoll = 128;
 constexpr std::chrono::milliseconds MaxPollTimeout{60'000};
+/** Handling events makes timers, deferred callbacks and other sources late by little more. */
+constexpr std::chrono::milliseconds MaxEventTime{10};
 /** After a shorter wait the events were ready before it. */
 constexpr std::chrono::milliseconds MinWait{1};
 
@@ -76,11 +78,17 @@
     // sources of other libraries, which need g_poll(); a mesh node has none.
     if (epollEntry == nullptr || count != 2 || (otherEntry->events & ~G_IO_IN) != 0) {
         const gint ready = g_poll(descriptors, count, timeout);
-        if (ready > 0 && epollEntry != nullptr && epollEntry->revents != 0)
+        if (ready > 0 && epollEntry != nullptr && epollEntry->revents != 0
+            && !loop.hasPendingEvents())
             loop.collectEvents(0);
         return ready;
     }
     loop.watchWakeUp(otherEntry->fd);
+    // The kernel would report the descriptors of these events again.
+    if (loop.hasPendingEvents()) {
+        epollEntry->revents = G_IO_IN;
+        return 1;
+    }
     const int collected = loop.collectEvents(timeout);
     if (collected < 0)
         return collected;
@@ -118,6 +126,8 @@
         return count;
     updateInputDelay(waitStart);
     m_hasMoreEvents = count == MaxEventsPerPoll;
+    m_pendingEvents.clear();
+    m_nextEvent = 0;
     for (int i = 0; i < count; ++i) {
         m_pendingEvents.push_back(PendingEvent{static_cast<DescriptorHandler *>(events[i].data.ptr),
                                                events[i].events});
@@ -137,7 +147,7 @@
 
 int EpollLoop::pollTimeoutMilliseconds()
 {
-    if (!m_deferredCallbacks.empty())
+    if (!m_deferredCallbacks.empty() || hasPendingEvents())
         return 0;
     if (m_timerQueue.empty())
         return -1;
@@ -153,13 +163,13 @@
 {
     EpollLoop *loop = reinterpret_cast<LoopSource *>(source)->loop;
     *timeout = loop->pollTimeoutMilliseconds();
-    return *timeout == 0 || !loop->m_pendingEvents.empty();
+    return *timeout == 0 || loop->hasPendingEvents();
 }
 
 gboolean EpollLoop::check(GSource *source)
 {
     EpollLoop *loop = reinterpret_cast<LoopSource *>(source)->loop;
-    return !loop->m_pendingEvents.empty() || loop->pollTimeoutMilliseconds() == 0;
+    return loop->hasPendingEvents() || loop->pollTimeoutMilliseconds() == 0;
 }
 
 gboolean EpollLoop::dispatch(GSource *source, GSourceFunc, gpointer)
@@ -176,23 +186,30 @@
 
 void EpollLoop::runEvents()
 {
+    const SteadyTime end = m_now + MaxEventTime;
     // A handler may call unwatch() for another one, which clears pending entries.
-    for (std::size_t i = 0; i < m_pendingEvents.size(); ++i) {
-        const PendingEvent event = m_pendingEvents[i];
-        if (event.handler != nullptr)
-            event.handler->descriptorReady(event.events);
+    while (hasPendingEvents()) {
+        const PendingEvent event = m_pendingEvents[m_nextEvent++];
+        if (event.handler == nullptr)
+            continue;
+        event.handler->descriptorReady(event.events);
+        m_now = std::chrono::steady_clock::now();
+        if (m_now >= end)
+            return;
     }
-    m_pendingEvents.clear();
 }
 
 void EpollLoop::runDeferred()
 {
-    // A deferred callback may defer another one.
-    for (std::size_t i = 0; i < m_deferredCallbacks.size(); ++i) {
-        const Callback callback = std::move(m_deferredCallbacks[i]);
+    if (m_deferredCallbacks.empty())
+        return;
+    // What a deferred callback defers runs in the next iteration.
+    std::vector<Callback> callbacks =
+            std::exchange(m_deferredCallbacks, std::move(m_spareCallbacks));
+    for (const Callback &callback : callbacks)
         callback();
-    }
-    m_deferredCallbacks.clear();
+    callbacks.clear();
+    m_spareCallbacks = std::move(callbacks);
 }
 
 void EpollLoop::defer(Callback callback)
@@ -204,7 +221,9 @@
 {
     const SteadyTime now = std::chrono::steady_clock::now();
     m_now = now;
-    while (!m_timerQueue.empty() && m_timerQueue.begin()->first.first <= now)
+    // Timers that are started meanwhile wait for the next iteration.
+    const std::pair<SteadyTime, std::uint64_t> last(now, m_lastTimerId);
+    while (!m_timerQueue.empty() && m_timerQueue.begin()->first <= last)
         fire(m_timerQueue.begin()->second);
 }
 
--- a/drivers/epoll/epoll_loop.h
+++ b/drivers/epoll/epoll_loop.h
@@ -31,6 +31,10 @@
  * GLib writes to its wake-up descriptor whenever a source is attached, removed or re-armed while
  * the loop runs. With a single source neither connections nor timers modify the main context, so a
  * request on an open connection costs only its own reads and writes.
+ *
+ * An iteration handles events for a bounded time, then due timers, then deferred callbacks. The
+ * next one goes on with the events that are left before it collects new ones, so each ready
+ * descriptor has its turn before any comes again.
  */
 class EpollLoop final : public TimerService
 {
@@ -51,10 +55,12 @@
     int m_wakeUpDescriptor = -1; ///< The wake-up descriptor of the main context.
     LoopSource *m_source = nullptr;
     std::vector<PendingEvent> m_pendingEvents;
+    std::size_t m_nextEvent = 0; ///< Index of the first pending event that is not handled yet.
     /** Timer ids, ordered by due time and id. */
     std::map<std::pair<SteadyTime, std::uint64_t>, std::uint64_t> m_timerQueue;
     std::unordered_map<std::uint64_t, TimerEntry> m_timerEntries;
     std::vector<Callback> m_deferredCallbacks;
+    std::vector<Callback> m_spareCallbacks; ///< Empty; keeps its memory for the next iteration.
     std::uint64_t m_lastTimerId = 0;
     SteadyTime m_startedAt; ///< Periodic timers fire at multiples of their periods after it.
     SteadyTime m_now;
@@ -79,6 +85,7 @@
     int collectEvents(int timeout);
     /** Computes m_inputDelay from when the loop began to wait for the events just collected. */
     void updateInputDelay(SteadyTime waitStart);
+    bool hasPendingEvents() const { return m_nextEvent < m_pendingEvents.size(); }
     /** Returns the time to the next timer, 0 if callbacks are due now, or -1 without timers. */
     int pollTimeoutMilliseconds();
     TimerId start(SteadyTime due, std::chrono::milliseconds period, Callback callback);
@@ -90,6 +97,7 @@
     /** Removes the first entry of the timer queue, which has this id, and calls its callback. */
     void fire(std::uint64_t id);
     void runTimers();
+    /** Handles pending events until none is left or their time in an iteration is used up. */
     void runEvents();
     void runDeferred();
 
--- a/drivers/tests/test_epoll_loop.cpp
+++ b/drivers/tests/test_epoll_loop.cpp
@@ -1,6 +1,10 @@
 #include <catch2/catch.hpp>
 
+#include <algorithm>
+#include <array>
+#include <functional>
 #include <thread>
+#include <vector>
 
 #include <sys/epoll.h>
 #include <unistd.h>
@@ -33,6 +37,60 @@
     }
 };
 
+/** Uses the processor for a time. */
+void work(milliseconds time)
+{
+    const SteadyTime end = std::chrono::steady_clock::now() + time;
+    while (std::chrono::steady_clock::now() < end)
+        continue;
+}
+
+/** Descriptors that are always ready and whose handlers take 200 ms together by default. */
+class ReadyDescriptors
+{
+    static constexpr std::size_t Count = 100;
+
+    EpollLoop &m_loop = EpollLoop::instance();
+    std::array<std::array<int, 2>, Count> m_pipes{};
+    std::array<CountingHandler, Count> m_handlers;
+
+public:
+    explicit ReadyDescriptors(milliseconds handlerTime = milliseconds(2))
+    {
+        for (std::size_t i = 0; i < Count; ++i) {
+            REQUIRE(pipe(m_pipes[i].data()) == 0);
+            REQUIRE(write(m_pipes[i][1], "x", 1) == 1);
+            m_handlers[i].action = [handlerTime] {
+                work(handlerTime);
+            };
+            m_loop.watch(m_pipes[i][0], EPOLLIN, m_handlers[i]);
+        }
+    }
+    ~ReadyDescriptors()
+    {
+        unwatch();
+        for (const std::array<int, 2> &pipe : m_pipes) {
+            close(pipe[0]);
+            close(pipe[1]);
+        }
+    }
+    ReadyDescriptors(const ReadyDescriptors &) = delete;
+    ReadyDescriptors &operator=(const ReadyDescriptors &) = delete;
+
+    void unwatch()
+    {
+        for (std::size_t i = 0; i < Count; ++i)
+            m_loop.unwatch(m_pipes[i][0], m_handlers[i]);
+    }
+    std::vector<int> calls() const
+    {
+        std::vector<int> calls;
+        for (const CountingHandler &handler : m_handlers)
+            calls.push_back(handler.calls);
+        return calls;
+    }
+};
+
 } // namespace
 
 TEST_CASE("a timer started after the loop was blocked waits for its full delay")
@@ -129,4 +187,94 @@
     CHECK(order.back() == 'c');
 }
 
+// Guards against timers that wait until all input of many descriptors has been handled.
+TEST_CASE("a timer has its turn between descriptors that are always ready")
+{
+    EpollLoop &loop = EpollLoop::instance();
+    const ReadyDescriptors descriptors;
+    for (int i = 0; i < 5; ++i) {
+        bool fired = false;
+        const SteadyTime due = std::chrono::steady_clock::now() + milliseconds(5);
+        loop.startOnce(milliseconds(5), [&] { fired = true; });
+        runUntil(fired);
+        CHECK(std::chrono::steady_clock::now() - due < milliseconds(60));
+    }
+}
+
+// Guards against output that waits until all input of many descriptors has been handled.
+TEST_CASE("deferred callbacks and other sources have their turn between ready descriptors")
+{
+    const ReadyDescriptors descriptors;
+    const SteadyTime start = std::chrono::steady_clock::now();
+    bool ran = false;
+    EpollLoop::instance().defer([&] { ran = true; });
+    runUntil(ran);
+    CHECK(std::chrono::steady_clock::now() - start < milliseconds(60));
+}
+
+// Guards against a descriptor that is handled twice while others wait.
+TEST_CASE("descriptors that are always ready are handled in turn")
+{
+    const ReadyDescriptors descriptors;
+    bool done = false;
+    EpollLoop::instance().startOnce(milliseconds(700), [&] { done = true; });
+    runUntil(done);
+    const std::vector<int> calls = descriptors.calls();
+    const auto [least, most] = std::minmax_element(calls.begin(), calls.end());
+    CHECK(*least >= 1);
+    CHECK(*most - *least <= 1);
+}
+
+// Guards against a call of a handler that is gone for an event of an earlier iteration.
+TEST_CASE("a handler that is unwatched between two loop iterations is not called")
+{
+    ReadyDescriptors descriptors;
+    bool done = false;
+    EpollLoop::instance().startOnce(milliseconds(5), [&] { done = true; });
+    runUntil(done);
+    descriptors.unwatch();
+    const std::vector<int> calls = descriptors.calls();
+    done = false;
+    EpollLoop::instance().startOnce(milliseconds(20), [&] { done = true; });
+    runUntil(done);
+    CHECK(descriptors.calls() == calls);
+}
+
+// Guards against callbacks that hold the loop up by deferring or starting further ones.
+TEST_CASE("callbacks that schedule themselves again leave timers and descriptors their turn")
+{
+    EpollLoop &loop = EpollLoop::instance();
+    const ReadyDescriptors descriptors(milliseconds(0));
+    const SteadyTime end = std::chrono::steady_clock::now() + milliseconds(400);
+    bool fired = false;
+    bool isScheduled = true;
+    std::function<void(std::function<void()>)> schedule;
+    SECTION("deferred callbacks")
+    {
+        schedule = [&](std::function<void()> callback) {
+            loop.defer(std::move(callback));
+        };
+    }
+    SECTION("timers without a delay")
+    {
+        schedule = [&](std::function<void()> callback) {
+            loop.startOnce(milliseconds(0), std::move(callback));
+        };
+    }
+    const std::function<void()> again = [&] {
+        work(milliseconds(1));
+        isScheduled = !fired && std::chrono::steady_clock::now() < end;
+        if (isScheduled)
+            schedule(again);
+    };
+    schedule(again);
+    loop.startOnce(milliseconds(20), [&] { fired = true; });
+    runUntil(fired);
+    CHECK(std::chrono::steady_clock::now() < end);
+    const std::vector<int> calls = descriptors.calls();
+    CHECK(std::count(calls.begin(), calls.end(), 0) == 0);
+    while (isScheduled)
+        g_main_context_iteration(nullptr, TRUE);
+}
+
 } // namespace jacinthshift
