Links: one turn of a link is bounded

Cause: an event of a link read up to 64 KB, which may be thousands of short frames, and handled them in one go.

Change: a link reads 4 KB first and goes on, with twice as much each time, only while it has used less than 2 ms. The rest stays in the socket, so epoll reports it again and no input has to be scheduled.

Result: `unit_tests "a link that is flooded*"` (5,000 frames that take 0.2 ms each) before: 544 ms between two calls of a timer of 10 ms, 100 ms allowed; after: passes.

--- a/drivers/websocket/websocket_link_transport.cpp
+++ b/drivers/websocket/websocket_link_transport.cpp
@@ -13,7 +13,11 @@
 
 namespace {
 
-constexpr std::size_t ReadBufferBytes = 64 * 1024;
+constexpr std::size_t ReadBufferBytes = 32 * 1024;
+/** The first read of an event is short, as its frames may take long, and each next one longer. */
+constexpr std::size_t FirstReadBytes = 4 * 1024;
+/** After this time the rest of a link's input waits for the link's next turn. */
+constexpr std::chrono::milliseconds MaxReadTime{2};
 /** Less output is not counted: each link has some at times. */
 constexpr std::size_t MinCountedOutputBytes = 64 * 1024;
 
@@ -260,7 +264,7 @@
             if (!channel->waitingToWrite)
                 waitForSocket(channel);
         }
-        readSome(channel);
+        readInput(channel);
     }
 
     void finishConnect(const ChannelPointer &channel)
@@ -274,16 +278,27 @@
         SessionCall(channel)->start();
     }
 
-    void readSome(const ChannelPointer &channel)
+    /** Reads until the link's time is used up; what remains in the socket is reported again. */
+    void readInput(const ChannelPointer &channel)
+    {
+        const SteadyTime end = EpollLoop::instance().now() + MaxReadTime;
+        std::size_t size = FirstReadBytes;
+        while (readSome(channel, size) && size < ReadBufferBytes
+               && std::chrono::steady_clock::now() < end)
+            size *= 2;
+    }
+
+    /** Reads up to size bytes. Returns whether there may be more to read. */
+    bool readSome(const ChannelPointer &channel, std::size_t size)
     {
         std::array<char, ReadBufferBytes> buffer;
         std::size_t received = 0;
-        const SocketResult outcome = channel->socket.read(buffer.data(), buffer.size(), received);
+        const SocketResult outcome = channel->socket.read(buffer.data(), size, received);
         if (outcome == SocketResult::WouldBlock)
-            return;
+            return false;
         if (outcome != SocketResult::Progress) {
             scheduleClose(channel);
-            return;
+            return false;
         }
         if (channel->unfinishedBytes == 0)
             channel->unfinishedSince = EpollLoop::instance().now();
@@ -291,6 +306,7 @@
         SessionCall(channel)->processInput(buffer.data(), received);
         // A short frame is complete as soon as it is received, so few links are ever held.
         channel->updateAccount();
+        return received == size && !channel->closed;
     }
 
     void acceptConnection(int descriptor)
