--- a/tests/support/fake_link_hub.h
+++ b/tests/support/fake_link_hub.h
@@ -73,6 +73,16 @@
                + std::chrono::milliseconds(1);
     }
 
+    void notifyOpened(LinkId link, bool outgoing)
+    {
+        if (m_observer != nullptr)
+            m_observer->linkOpened(link, outgoing);
+    }
+    void notifyClosed(LinkId link)
+    {
+        if (m_observer != nullptr)
+            m_observer->linkClosed(link);
+    }
     void schedule(std::function<void()> action)
     {
         m_hub.timers.startOnce(std::chrono::milliseconds(1), std::move(action));
@@ -94,7 +104,7 @@
         const LinkId localLink = static_cast<LinkId>(++m_hub.lastLinkId);
         const auto found = m_hub.listeners.find(endpoint);
         if (found == m_hub.listeners.end()) {
-            schedule([this, localLink] { m_observer->linkClosed(localLink); });
+            schedule([this, localLink] { notifyClosed(localLink); });
             return localLink;
         }
         FakeLinkTransport *remote = found->second;
@@ -102,8 +112,8 @@
         m_links[localLink] = {remote, remoteLink};
         remote->m_links[remoteLink] = {this, localLink};
         schedule([this, remote, localLink, remoteLink] {
-            m_observer->linkOpened(localLink, true);
-            remote->m_observer->linkOpened(remoteLink, false);
+            notifyOpened(localLink, true);
+            remote->notifyOpened(remoteLink, false);
         });
         return localLink;
     }
@@ -146,8 +156,8 @@
         const RemoteEnd peer = found->second;
         m_links.erase(found);
         peer.transport->m_links.erase(peer.link);
-        schedule([this, link] { m_observer->linkClosed(link); });
-        schedule([peer] { peer.transport->m_observer->linkClosed(peer.link); });
+        schedule([this, link] { notifyClosed(link); });
+        schedule([peer] { peer.transport->notifyClosed(peer.link); });
     }
 
     /** Closes all links. */
@@ -156,6 +166,16 @@
         while (!m_links.empty())
             close(m_links.begin()->first);
     }
+    /**
+     * Ends like the process that it belongs to, whose observer is not used any more. The transport
+     * itself must outlive the frames in flight.
+     */
+    void stop()
+    {
+        m_hub.listeners.erase(m_listen);
+        closeAll();
+        m_observer = nullptr;
+    }
     /** Silences the links that are open now; links opened later work. */
     void silenceOpenLinks()
     {
