Tests: the late loop tests listen on an address range of their own

What was seen: test_late_loop.cpp could not listen on its port, once, while other unit tests ran (KNOWN-RED, unit_late_loop_port).

Cause: port 18394 of 127.0.0.1 was fixed, and test_malformed_http.cpp uses it as well. Within one process the tests follow each other; two processes of unit tests, or any other program on the port, meet.

Evidence: with another process listening on 127.0.0.1:18394 all three cases fail at REQUIRE(status.ok()).

Change: each case reserves a range of loopback addresses (LoopbackNetwork), as the benches do, and listens there. Nothing that is checked has changed.

The fixed ports of five other test files (test_http_server, test_soup_server, test_http_pipelining, test_malformed_http, test_peer_limits) remain.

--- a/modules/forwarding/tests/test_late_loop.cpp
+++ b/modules/forwarding/tests/test_late_loop.cpp
@@ -7,6 +7,7 @@
 #include "drivers/tcp/tcp_socket.h"
 #include "modules/forwarding/forwarder.h"
 #include "tests/support/fake_link_hub.h"
+#include "tests/support/loopback_network.h"
 
 namespace jacinthshift {
 
@@ -44,7 +45,8 @@
 /** A node's path from a caller's connection to its own owner, on the real event loop. */
 struct LateNode
 {
-    const Endpoint listen{"127.0.0.1", 18'394};
+    const LoopbackNetwork addresses; ///< Its own, as tests of other processes use ports as well.
+    const Endpoint listen{addresses.prefix() + ".1.1", 8080};
     EpollLoop &loop = EpollLoop::instance();
     ManualTimerService linkTimers;
     FakeLinkHub hub{linkTimers};
