Signals come through the event loop

What callers saw: a stop that begins late, or never, on a busy node, while it goes on to take requests.

Cause: SIGTERM was handed over by GLib's worker thread to a source of the main context, which had its turn only after all input of an iteration; how late that was could not be seen.

Change: SignalWatch records the time in the handler, wakes the loop through a pipe and is asked at the beginning of each iteration, also of one that goes on with earlier events. Both nodes use it; NodeStopping gives `late_ms`.

--- a/drivers/epoll/epoll_loop.cpp
+++ b/drivers/epoll/epoll_loop.cpp
@@ -177,6 +177,7 @@
     EpollLoop *loop = reinterpret_cast<LoopSource *>(source)->loop;
     loop->m_now = std::chrono::steady_clock::now();
     loop->m_dispatching = true;
+    loop->notifyObservers();
     loop->runEvents();
     loop->runTimers();
     loop->runDeferred();
@@ -184,6 +185,15 @@
     return G_SOURCE_CONTINUE;
 }
 
+void EpollLoop::notifyObservers()
+{
+    // An observer may remove itself.
+    for (std::size_t i = m_observers.size(); i > 0; --i) {
+        if (i <= m_observers.size())
+            m_observers[i - 1]->iterationBegins();
+    }
+}
+
 void EpollLoop::runEvents()
 {
     const SteadyTime end = m_now + MaxEventTime;
--- a/drivers/epoll/epoll_loop.h
+++ b/drivers/epoll/epoll_loop.h
@@ -24,6 +24,15 @@
     virtual void descriptorReady(std::uint32_t events) = 0;
 };
 
+/** Is called at the beginning of each iteration of the loop, before any event. */
+class IterationObserver
+{
+public:
+    virtual ~IterationObserver() = default;
+
+    virtual void iterationBegins() = 0;
+};
+
 /**
  * A single GLib source that watches all sockets through epoll and stores all timers in one ordered
  * map.
@@ -59,6 +68,7 @@
     /** Timer ids, ordered by due time and id. */
     std::map<std::pair<SteadyTime, std::uint64_t>, std::uint64_t> m_timerQueue;
     std::unordered_map<std::uint64_t, TimerEntry> m_timerEntries;
+    std::vector<IterationObserver *> m_observers;
     std::vector<Callback> m_deferredCallbacks;
     std::vector<Callback> m_spareCallbacks; ///< Empty; keeps its memory for the next iteration.
     std::uint64_t m_lastTimerId = 0;
@@ -97,6 +107,7 @@
     /** Removes the first entry of the timer queue, which has this id, and calls its callback. */
     void fire(std::uint64_t id);
     void runTimers();
+    void notifyObservers();
     /** Handles pending events until none is left or their time in an iteration is used up. */
     void runEvents();
     void runDeferred();
@@ -116,6 +127,10 @@
     /** Stops watching a descriptor and drops pending events of its handler. */
     void unwatch(int descriptor, DescriptorHandler &handler);
 
+    /** Adds an observer, which is not owned. */
+    void addObserver(IterationObserver &observer) { m_observers.push_back(&observer); }
+    void removeObserver(IterationObserver &observer) { std::erase(m_observers, &observer); }
+
     /** Calls back at the end of the current loop iteration, or of the next if none is running. */
     void defer(Callback callback);
 
--- a/drivers/tests/test_epoll_loop.cpp
+++ b/drivers/tests/test_epoll_loop.cpp
@@ -11,6 +11,7 @@
 
 #include "core/scope_guard.h"
 #include "drivers/epoll/epoll_loop.h"
+#include "drivers/epoll/signal_watch.h"
 
 namespace jacinthshift {
 
@@ -212,6 +213,51 @@
     CHECK(std::chrono::steady_clock::now() - start < milliseconds(60));
 }
 
+// Guards against a stop that begins seconds after its signal, and counts from there.
+TEST_CASE("a signal has its turn between ready descriptors and is given when it was received")
+{
+    const ReadyDescriptors descriptors;
+    bool called = false;
+    SteadyTime receivedAt;
+    const SignalWatch watch(SIGUSR1, [&](SteadyTime at) {
+        receivedAt = at;
+        called = true;
+    });
+    for (int i = 0; i < 3; ++i) {
+        bool waited = false;
+        EpollLoop::instance().startOnce(milliseconds(10), [&] { waited = true; });
+        runUntil(waited);
+        called = false;
+        const SteadyTime before = std::chrono::steady_clock::now();
+        REQUIRE(raise(SIGUSR1) == 0);
+        const SteadyTime after = std::chrono::steady_clock::now();
+        runUntil(called);
+        CHECK(std::chrono::steady_clock::now() - before < milliseconds(60));
+        CHECK(receivedAt >= before);
+        CHECK(receivedAt <= after);
+    }
+}
+
+TEST_CASE("a signal wakes a loop that waits, and its watch restores what it replaced")
+{
+    bool called = false;
+    {
+        const SignalWatch watch(SIGCHLD, [&](SteadyTime) { called = true; });
+        std::thread sender([pid = getpid()] {
+            std::this_thread::sleep_for(milliseconds(20));
+            kill(pid, SIGCHLD);
+        });
+        runUntil(called);
+        sender.join();
+    }
+    called = false;
+    REQUIRE(raise(SIGCHLD) == 0); // Ignored by default.
+    bool waited = false;
+    EpollLoop::instance().startOnce(milliseconds(10), [&] { waited = true; });
+    runUntil(waited);
+    CHECK_FALSE(called);
+}
+
 // Guards against a descriptor that is handled twice while others wait.
 TEST_CASE("descriptors that are always ready are handled in turn")
 {
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -6,7 +6,6 @@
 #include <optional>
 #include <utility>
 
-#include <glib-unix.h>
 #include <malloc.h>
 #include <sys/resource.h>
 #include <sys/stat.h>
@@ -19,6 +18,7 @@
 #include "drivers/beast/beast_http_server.h"
 #include "drivers/clock/system_boot_clock.h"
 #include "drivers/epoll/epoll_loop.h"
+#include "drivers/epoll/signal_watch.h"
 #include "drivers/websocket/websocket_link_transport.h"
 #include "modules/feed/table_sync.h"
 #include "modules/forwarding/forwarder.h"
@@ -321,7 +321,8 @@
     std::string metricsText();
     void reloadSettings(const std::string &reason);
     void checkSettingsFile();
-    void beginShutdown();
+    /** Begins a graceful shutdown; the time is when the process was asked for it. */
+    void beginShutdown(SteadyTime askedAt);
     /** Sets what the process finishes before it ends. */
     void addShutdownTasks();
 
@@ -751,12 +752,14 @@
     logEvent(Event::SettingsReloaded, {{"why", reason}, {"store", settings.store.text()}});
 }
 
-void MeshNode::Components::beginShutdown()
+void MeshNode::Components::beginShutdown(SteadyTime askedAt)
 {
     if (shutdown.isActive())
         return;
-    logEvent(Event::NodeStopping,
-             {{"requests", forwarder.openRequests()}, {"work", owner.openRequests()}});
+    const auto late = std::chrono::duration_cast<std::chrono::milliseconds>(timers.now() - askedAt);
+    logEvent(Event::NodeStopping, {{"requests", forwarder.openRequests()},
+                                   {"work", owner.openRequests()},
+                                   {"late_ms", late.count()}});
     callerServer.disableKeepAlive();
     const std::chrono::milliseconds lastAnswer = settings.grace - GraceMargin - LastAnswerTime;
     forwarder.setLatestDeadline(timers.now() + lastAnswer);
@@ -824,26 +827,13 @@
 
 void MeshNode::run()
 {
-    const GSourceFunc stop = [](gpointer data) -> gboolean {
-        static_cast<Components *>(data)->beginShutdown();
-        return G_SOURCE_CONTINUE;
+    const SignalWatch hangUp(SIGHUP,
+                             [this](SteadyTime) { m_components->reloadSettings("SIGHUP"); });
+    const auto stop = [this](SteadyTime receivedAt) {
+        m_components->beginShutdown(receivedAt);
     };
-    const GSourceFunc reload = [](gpointer data) -> gboolean {
-        static_cast<Components *>(data)->reloadSettings("SIGHUP");
-        return G_SOURCE_CONTINUE;
-    };
-    const GlibSource hangUp = [&] {
-        GSource *source = g_unix_signal_source_new(SIGHUP);
-        g_source_set_callback(source, reload, m_components.get(), nullptr);
-        return GlibSource(source);
-    }();
-    const auto stopOn = [&](int signal) {
-        GSource *source = g_unix_signal_source_new(signal);
-        g_source_set_callback(source, stop, m_components.get(), nullptr);
-        return GlibSource(source);
-    };
-    const GlibSource terminate = stopOn(SIGTERM);
-    const GlibSource interrupt = stopOn(SIGINT);
+    const SignalWatch terminate(SIGTERM, stop);
+    const SignalWatch interrupt(SIGINT, stop);
     g_main_loop_run(m_components->loop);
     flushLog();
 }
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -3,12 +3,11 @@
 #include <algorithm>
 #include <csignal>
 
-#include <glib-unix.h>
-
 #include "core/duration.h"
 #include "core/hash.h"
 #include "core/logger.h"
 #include "drivers/beast/beast_http_client.h"
+#include "drivers/epoll/signal_watch.h"
 #include "drivers/glib/glib_timer_service.h"
 #include "drivers/http_log/http_log_client.h"
 #include "drivers/soup/soup_http_client.h"
@@ -89,7 +88,8 @@
     void handleCallerRequest(HttpRequest request, const std::shared_ptr<HttpResponder> &responder);
     void configurationChanged(const ConfigState &state);
     void updateServing();
-    void beginShutdown();
+    /** Begins a graceful shutdown; the time is when the process was asked for it. */
+    void beginShutdown(SteadyTime askedAt);
     /** Sets what the process finishes before it ends. */
     void addShutdownTasks();
 
@@ -255,13 +255,15 @@
         gossip.broadcast(*suspect, peer);
 }
 
-void Node::Components::beginShutdown()
+void Node::Components::beginShutdown(SteadyTime askedAt)
 {
     if (stopping)
         return;
     stopping = true;
-    logEvent(Event::NodeStopping,
-             {{"requests", router.openRequests()}, {"in_flight", agent.inFlight()}});
+    const auto late = std::chrono::duration_cast<std::chrono::milliseconds>(timers.now() - askedAt);
+    logEvent(Event::NodeStopping, {{"requests", router.openRequests()},
+                                   {"in_flight", agent.inFlight()},
+                                   {"late_ms", late.count()}});
     router.stopAccepting();
     agent.stopAccepting();
     publishOwnRecord();
@@ -319,15 +321,12 @@
 
 void Node::run()
 {
-    const GSourceFunc stop = [](gpointer data) -> gboolean {
-        static_cast<Components *>(data)->beginShutdown();
-        return G_SOURCE_CONTINUE;
+    const auto stop = [this](SteadyTime receivedAt) {
+        m_components->beginShutdown(receivedAt);
     };
-    const guint terminate = g_unix_signal_add(SIGTERM, stop, m_components.get());
-    const guint interrupt = g_unix_signal_add(SIGINT, stop, m_components.get());
+    const SignalWatch terminate(SIGTERM, stop);
+    const SignalWatch interrupt(SIGINT, stop);
     g_main_loop_run(m_components->loop);
-    g_source_remove(terminate);
-    g_source_remove(interrupt);
 }
 
 } // namespace jacinthshift
