Crash reports: each node passes on only what is news, by way of relays

What callers saw: on a large mesh, most requests fail after nine servers have crashed, and nodes that get SIGTERM do not stop.

Cause: in a mesh that is too large for links to all nodes, every node that learned of a suspected request sent the report on over all of its links, and so it did with a clearance. Neither carried an order: a report that arrived after its clearance was news again for all nodes, and so was the next clearance.

Fix: a crash is known by fingerprint and lifetime and is either suspected or cleared. A clearance covers the crashes that its sender knows; they are kept as cleared for the retention, so what a node knows of a crash changes twice at most, and no order of messages keeps a report running. Reports carry the age of the crash, so that passing them on does not prolong the retention. They go to the own failure domain and by its relays to those of the others, in messages of at most 64 crashes, 7 a second and link after a burst of 16. Over a new link the last crashes are told; a node that becomes a relay passes them on again, as the earlier relays may not have.

The messages CrashSuspect and KnownCrashes become CrashReports, protocol 9. The other kind of node names its crashes by node, not by lifetime, and so goes on to forget cleared ones (forgetSuspect).

--- a/modules/admission/tests/test_admission.cpp
+++ b/modules/admission/tests/test_admission.cpp
@@ -133,4 +133,48 @@
     CHECK_FALSE(registry.isRefused(1, now));
 }
 
+// Guards against reports that are news again for ever, in whatever order nodes receive them.
+TEST_CASE("a crash that was cleared is no news, before its report as well as after it")
+{
+    PoisonRegistry registry({.retention = std::chrono::seconds(10)});
+    const SteadyTime now{std::chrono::hours(1)};
+    const RecordedCrash crash{.fingerprint = 1, .backend = "a", .at = now};
+    RecordedCrash cleared = crash;
+    cleared.cleared = true;
+    CHECK(registry.merge(cleared, now));
+    CHECK_FALSE(registry.merge(crash, now));
+    CHECK_FALSE(registry.merge(cleared, now));
+    CHECK_FALSE(registry.isSuspect(1));
+    CHECK(registry.recordCrash(1, "b", now));
+    CHECK(registry.isSuspect(1));
+    const SteadyTime later = now + std::chrono::seconds(10);
+    CHECK_FALSE(registry.merge(crash, later));
+    CHECK(registry.recordCrash(2, "a", later));
+    CHECK(registry.size() == 1);
+}
+
+TEST_CASE("the registry keeps a bounded number of suspected and cleared requests and crashes")
+{
+    PoisonRegistry registry({.maxSuspects = 4, .maxCleared = 4, .maxCrashesPerRequest = 4});
+    const SteadyTime now{std::chrono::hours(1)};
+    for (std::uint64_t fingerprint = 1; fingerprint <= 20; ++fingerprint) {
+        CHECK(registry.recordCrash(fingerprint, "a", now));
+        CHECK(registry.removeSuspect(fingerprint));
+    }
+    CHECK(registry.newestCrashes(100).size() == 4);
+    for (std::uint64_t fingerprint = 101; fingerprint <= 120; ++fingerprint)
+        registry.recordCrash(fingerprint, "a", now);
+    CHECK(registry.size() == 4);
+    CHECK(registry.newestCrashes(100).size() == 8);
+    for (const char *backend : {"b", "c", "d", "e", "f"})
+        registry.recordCrash(101, backend, now);
+    CHECK(registry.crashesOf(101).size() == 4);
+    // Cleared crashes make room for new ones, so that a request that crashes again is refused.
+    registry.removeSuspect(101);
+    CHECK(registry.recordCrash(101, "g", now));
+    CHECK(registry.recordCrash(101, "h", now));
+    CHECK(registry.isRefused(101, now));
+    CHECK(registry.crashesOf(101).size() == 4);
+}
+
 } // namespace jacinthshift
--- a/modules/backend/backend_agent.cpp
+++ b/modules/backend/backend_agent.cpp
@@ -317,7 +317,7 @@
     if (limit() != oldLimit)
         logEvent(Event::LimitChanged, {{"from", oldLimit}, {"to", limit()}});
     if (!failed && m_poison.isSuspect(work->fingerprint)) {
-        m_poison.removeSuspect(work->fingerprint);
+        m_poison.forgetSuspect(work->fingerprint);
         m_observer.requestCleared(work->fingerprint);
     }
     if (work->keyReserved)
--- a/modules/fleet/message_codec.cpp
+++ b/modules/fleet/message_codec.cpp
@@ -252,8 +252,8 @@
 void decode(CborReader &reader, VersionEvidence &value);
 void encode(CborWriter &writer, const VersionEvidenceMessage &value);
 void decode(CborReader &reader, VersionEvidenceMessage &value);
-void encode(CborWriter &writer, const CrashSuspectMessage &value);
-void decode(CborReader &reader, CrashSuspectMessage &value);
+void encode(CborWriter &writer, const CrashReport &value);
+void decode(CborReader &reader, CrashReport &value);
 void encode(CborWriter &writer, const UsageCounts &value);
 void decode(CborReader &reader, UsageCounts &value);
 
@@ -557,14 +557,14 @@
     decode(reader, message.reports);
 }
 
-void encode(CborWriter &writer, const CrashSuspectMessage &message)
+void encode(CborWriter &writer, const CrashReport &report)
 {
-    encodeFields(writer, message.fingerprint, Name{message.backend});
+    encodeFields(writer, report.fingerprint, Name{report.backend}, report.cleared, report.age);
 }
 
-void decode(CborReader &reader, CrashSuspectMessage &message)
+void decode(CborReader &reader, CrashReport &report)
 {
-    decodeFields(reader, message.fingerprint, Name{message.backend});
+    decodeFields(reader, report.fingerprint, Name{report.backend}, report.cleared, report.age);
 }
 
 void encode(CborWriter &writer, const BackendLeftMessage &message)
@@ -577,12 +577,12 @@
     decodeFields(reader, Name{message.backend.id}, message.backend.startedAt);
 }
 
-void encode(CborWriter &writer, const KnownCrashesMessage &message)
+void encode(CborWriter &writer, const CrashReportsMessage &message)
 {
     encode(writer, message.crashes);
 }
 
-void decode(CborReader &reader, KnownCrashesMessage &message)
+void decode(CborReader &reader, CrashReportsMessage &message)
 {
     decode(reader, message.crashes);
 }
--- a/modules/fleet/messages.h
+++ b/modules/fleet/messages.h
@@ -45,7 +45,7 @@
 struct GreetingMessage
 {
     /** Version of the protocol; a link between different versions is closed. */
-    static constexpr std::uint32_t Protocol = 8;
+    static constexpr std::uint32_t Protocol = 9;
 
     std::uint32_t protocol = Protocol;
     NodeContact self;
@@ -277,11 +277,19 @@
     std::vector<VersionEvidenceMessage> reports;
 };
 
-/** Reports a request that was running when a backend server crashed, or clears it. */
-struct CrashSuspectMessage
+/** A request that was running when a backend server crashed. */
+struct CrashReport
 {
-    std::uint64_t fingerprint = 0; ///< Hash that is the same for equal requests.
-    std::string backend; ///< The crashed lifetime; empty if the request has since run well.
+    std::uint64_t fingerprint = 0;    ///< Hash that is the same for equal requests.
+    std::string backend;              ///< The crashed lifetime.
+    bool cleared = false;             ///< The request has since run well.
+    std::chrono::milliseconds age{0}; ///< Time since the crash was noticed.
+};
+
+/** Tells of crashes that are news to the receiver, as far as the sender knows. */
+struct CrashReportsMessage
+{
+    std::vector<CrashReport> crashes;
 };
 
 /**
@@ -293,12 +301,6 @@
     BackendLifetime backend;
 };
 
-/** Tells a node's new process which requests have crashed backend servers, the last ones first. */
-struct KnownCrashesMessage
-{
-    std::vector<CrashSuspectMessage> crashes;
-};
-
 /** Liveness probe, or the reply to one. */
 struct ProbeMessage
 {
@@ -393,12 +395,11 @@
 using FleetMessage =
         std::variant<GreetingMessage, StatusMessage, WorkCallMessage, WorkResultMessage,
                      WorkCancelMessage, WorkResumeMessage, TableFetchMessage, TableRecordsMessage,
-                     VersionEvidenceMessage, CrashSuspectMessage, RolloutProgressMessage,
+                     VersionEvidenceMessage, CrashReportsMessage, RolloutProgressMessage,
                      ProbeMessage, ContactsFetchMessage, ContactsMessage, ResponsePartMessage,
-                     EvidenceBatchMessage, BackendLeftMessage, KnownCrashesMessage,
-                     KnowledgeQuestionMessage, KnowledgeAnswerMessage, UsageCountsMessage,
-                     UsageFetchMessage, UsageSumMessage, UsageSealedMessage, RequestPartMessage,
-                     ResponseRoomMessage>;
+                     EvidenceBatchMessage, BackendLeftMessage, KnowledgeQuestionMessage,
+                     KnowledgeAnswerMessage, UsageCountsMessage, UsageFetchMessage, UsageSumMessage,
+                     UsageSealedMessage, RequestPartMessage, ResponseRoomMessage>;
 
 /** Returns the name used in logs. */
 std::string_view refusalName(WorkRefusal refusal);
--- a/modules/fleet/tests/test_fleet_codec.cpp
+++ b/modules/fleet/tests/test_fleet_codec.cpp
@@ -56,9 +56,12 @@
             TableFetchMessage{.from = {.era = 1, .offset = 12}},
             TableRecordsMessage{.packedPage = "p"},
             VersionEvidenceMessage{.service = "s", .routes = {{.route = "r"}}},
-            CrashSuspectMessage{.fingerprint = ~0ULL, .backend = "b"},
+            CrashReportsMessage{.crashes = {{.fingerprint = ~0ULL, .backend = "b"},
+                                            {.fingerprint = 1,
+                                             .backend = "c",
+                                             .cleared = true,
+                                             .age = std::chrono::milliseconds(70)}}},
             BackendLeftMessage{.backend = {.id = "i", .startedAt = 5}},
-            KnownCrashesMessage{.crashes = {{.fingerprint = ~0ULL, .backend = "b"}}},
             KnowledgeQuestionMessage{.number = 6},
             KnowledgeAnswerMessage{.number = 6, .configVersion = 9},
             KnowledgeAnswerMessage{.number = 6, .age = std::chrono::milliseconds(300)},
@@ -237,7 +240,7 @@
                 StatusMessage{.backend = {.id = name}},
                 RolloutProgressMessage{.service = name},
                 BackendLeftMessage{.backend = {.id = name}},
-                CrashSuspectMessage{.backend = name}};
+                CrashReportsMessage{.crashes = {{.backend = name}}}};
         std::size_t decoded = 0;
         for (const FleetMessage &message : messages)
             decoded += decodeFleetMessage(encodeFleetMessage(message)).ok() ? 1 : 0;
--- a/modules/owner/tests/test_crash_storm.cpp
+++ b/modules/owner/tests/test_crash_storm.cpp
@@ -155,8 +155,8 @@
     }
 };
 
-constexpr std::size_t crashCount = 6;
-constexpr std::size_t requestsPerCrash = 4;
+constexpr std::size_t CrashCount = 6;
+constexpr std::size_t RequestsPerCrash = 4;
 
 } // namespace
 
@@ -168,21 +168,21 @@
     const std::uint64_t seed = GENERATE(range(1, 5));
     StormMesh mesh(seed);
     // The copies of a request run on several servers, so its crashes and successes overlap.
-    for (std::uint64_t crash = 0; crash < crashCount; ++crash) {
+    for (std::uint64_t crash = 0; crash < CrashCount; ++crash) {
         StormNode &node = mesh.anyNode();
-        for (std::uint64_t request = 0; request < requestsPerCrash; ++request)
+        for (std::uint64_t request = 0; request < RequestsPerCrash; ++request)
             node.crash(crash / 2 * 10 + request, joinText("i-", crash, "#1"), mesh.timers.now());
         mesh.advance(milliseconds(mesh.random.below(40)));
-        for (std::uint64_t success = 0; success < 2 * requestsPerCrash; ++success)
-            mesh.anyNode().succeed(crash / 2 * 10 + mesh.random.below(requestsPerCrash));
+        for (std::uint64_t success = 0; success < 2 * RequestsPerCrash; ++success)
+            mesh.anyNode().succeed(crash / 2 * 10 + mesh.random.below(RequestsPerCrash));
     }
     const milliseconds time = mesh.runUntilQuiet();
     INFO("seed " << seed << ": " << mesh.crashFrames() << " frames in " << time.count() << " ms");
     // A report reaches each node twice at most, and so does a clearance.
-    REQUIRE(mesh.crashFrames() <= crashCount * 2 * 2 * 2 * StormMesh::Nodes);
+    REQUIRE(mesh.crashFrames() <= CrashCount * 2 * 2 * 2 * StormMesh::Nodes);
     CHECK(time <= milliseconds(3'000));
-    for (std::uint64_t group = 0; group < crashCount / 2; ++group) {
-        for (std::uint64_t request = 0; request < requestsPerCrash; ++request) {
+    for (std::uint64_t group = 0; group < CrashCount / 2; ++group) {
+        for (std::uint64_t request = 0; request < RequestsPerCrash; ++request) {
             const std::size_t suspecting = mesh.countSuspecting(group * 10 + request);
             CHECK((suspecting == 0 || suspecting == StormMesh::Nodes));
             const std::size_t refusing = mesh.countRefusing(group * 10 + request);
@@ -205,6 +205,46 @@
         CHECK(mesh.countSuspecting(request) == StormMesh::Nodes);
 }
 
+// Guards against a rate of frames that grows with the number of crashes.
+TEST_CASE("crashes without end take a bounded number of frames in a large mesh", "[crash_storm]")
+{
+    StormMesh mesh(1);
+    StormNode &node = *mesh.nodes.at(0);
+    const auto crashFor = [&](milliseconds time) {
+        for (milliseconds passed{0}; passed < time; passed += milliseconds(10)) {
+            const std::uint64_t crash = mesh.random.below(~0ULL);
+            for (std::uint64_t request = 0; request < 20; ++request)
+                node.crash(crash + request, joinText("i-", crash), mesh.timers.now());
+            mesh.timers.advance(milliseconds(10));
+        }
+    };
+    crashFor(milliseconds(1'000));
+    const std::uint64_t frames = mesh.crashFrames();
+    crashFor(milliseconds(3'000));
+    INFO(mesh.crashFrames() - frames << " frames in 3 s");
+    // At most 7 messages a second and link; each node gets its reports from two relays.
+    CHECK(mesh.crashFrames() - frames <= 3 * 7 * 3 * StormMesh::Nodes);
+}
+
+// Guards against crashes that a part of the mesh never learns of because both relays ended.
+TEST_CASE("crashes that ended relays have not passed on reach all failure domains", "[crash_storm]")
+{
+    StormMesh mesh(1);
+    std::vector<std::size_t> relays;
+    for (std::size_t index = 0; index < mesh.nodes.size(); index += StormMesh::Domains) {
+        if (mesh.nodes.at(index)->network.isRelay())
+            relays.push_back(index);
+    }
+    REQUIRE(relays.size() == 2);
+    const std::size_t origin = relays.front() == 4 || relays.back() == 4 ? 8 : 4;
+    REQUIRE_FALSE(mesh.nodes.at(origin)->network.isRelay());
+    mesh.nodes.at(origin)->crash(7, "i-1#1", mesh.timers.now());
+    for (const std::size_t relay : relays)
+        mesh.nodes.at(relay)->transport.closeAll();
+    mesh.timers.advance(milliseconds(5'000));
+    CHECK(mesh.countSuspecting(7) == StormMesh::Nodes);
+}
+
 // Guards against a late report that brings a cleared crash back, and against a clearance that hides
 // crashes after it.
 TEST_CASE("in a large mesh a crash counts until it is cleared and never again", "[crash_storm]")
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -248,7 +248,7 @@
     const SuspectRequestMessage *suspect = std::get_if<SuspectRequestMessage>(&message);
     if (suspect == nullptr)
         return;
-    const bool changed = suspect->cleared ? poison.removeSuspect(suspect->fingerprint)
+    const bool changed = suspect->cleared ? poison.forgetSuspect(suspect->fingerprint)
                                           : poison.recordCrash(suspect->fingerprint, suspect->node,
                                                                timers.now());
     if (changed)
