Soak: stops of nodes that callers keep busy

Until its process has ended, a node runs for 20 of each 100 ms and eight callers pipeline requests over connections that they keep; a second SIGTERM, a SIGHUP and a configuration come in between. Two invariants: "late request" (a request that was sent more than 3.4 s after SIGTERM ran) and "lost response" (a request that ran was cut off). The end within 6 s and the recovery were checked before.

--- a/tests/soak/fault_plan.cpp
+++ b/tests/soak/fault_plan.cpp
@@ -59,6 +59,7 @@
         {"take out domain", true},
         {"burst"},
         {"kill all after departure"},
+        {"stop under load"},
 }};
 
 /** Draws a plan of faults of some of these kinds. */
@@ -118,6 +119,24 @@
     return faults;
 }
 
+std::vector<Fault> drawStopsUnderLoad(std::uint64_t seed,
+                                      std::chrono::milliseconds injectionDuration)
+{
+    constexpr std::uint64_t Stream = 0x6c6f61645f730000; // Apart from the other plans.
+    constexpr std::chrono::milliseconds MinInterval{6'000};
+    constexpr std::chrono::milliseconds MaxFurtherInterval{4'000};
+    constexpr std::chrono::milliseconds MaxTimeBeforeStop{3'000};
+    Random random(seed ^ Stream);
+    std::vector<Fault> faults;
+    std::chrono::milliseconds at = random.jitter(MaxFurtherInterval);
+    for (; at < injectionDuration; at += MinInterval + random.jitter(MaxFurtherInterval))
+        faults.push_back(Fault{.kind = FaultKind::StopUnderLoad,
+                               .at = at,
+                               .duration = random.jitter(MaxTimeBeforeStop),
+                               .target = random.below(1'000)});
+    return faults;
+}
+
 std::vector<Fault> drawFaults(std::uint64_t seed, std::chrono::milliseconds injectionDuration)
 {
     std::vector<FaultKind> kinds(DrawnKindCount);
--- a/tests/soak/fault_plan.h
+++ b/tests/soak/fault_plan.h
@@ -41,9 +41,11 @@
     Burst,                 ///< Multiplies the request rate.
     KillAllAfterDeparture, ///< Kills all nodes right after a backend server's leaving was
                            ///< acknowledged.
+    StopUnderLoad, ///< Stops nodes with little processor time, which callers keep busy until their
+                   ///< processes have ended.
 };
 
-constexpr int FaultKindCount = static_cast<int>(FaultKind::KillAllAfterDeparture) + 1;
+constexpr int FaultKindCount = static_cast<int>(FaultKind::StopUnderLoad) + 1;
 
 /** Returns the name of the fault in reports and records. */
 std::string_view faultName(FaultKind kind);
@@ -78,6 +80,10 @@
 std::vector<Fault> drawPlannedOperations(std::uint64_t seed,
                                          std::chrono::milliseconds injectionDuration);
 
+/** Draws stops of nodes that are kept busy by callers, alone. */
+std::vector<Fault> drawStopsUnderLoad(std::uint64_t seed,
+                                      std::chrono::milliseconds injectionDuration);
+
 } // namespace jacinthshift
 
 #endif // TESTS_SOAK_FAULT_PLAN_H
--- a/tests/soak/invariants.cpp
+++ b/tests/soak/invariants.cpp
@@ -4,6 +4,7 @@
 #include <set>
 
 #include "core/text.h"
+#include "tests/soak/fault_plan.h"
 
 namespace jacinthshift {
 
@@ -48,6 +49,7 @@
     void checkRetryBudget();
     void checkConfigs();
     void checkGracefulStops();
+    void checkStopsUnderLoad();
     void checkCancelledRequests();
 
 public:
@@ -75,6 +77,7 @@
     checkRetryBudget();
     checkConfigs();
     checkGracefulStops();
+    checkStopsUnderLoad();
     checkCancelledRequests();
     return std::move(m_violations);
 }
@@ -267,6 +270,28 @@
     }
 }
 
+void InvariantChecker::checkStopsUnderLoad()
+{
+    for (const Disturbance &stop : m_observations.disturbances) {
+        if (stop.kind != faultName(FaultKind::StopUnderLoad) || !stop.node)
+            continue;
+        for (const CallerRequest &request : m_observations.requests) {
+            if (request.node != *stop.node || request.sentAt > stop.until
+                || request.endedAt < stop.from || !m_runs.contains(request.id))
+                continue;
+            const auto sentAfter = std::chrono::duration_cast<std::chrono::milliseconds>(
+                    request.sentAt - stop.from);
+            if (sentAfter > m_bounds.lastRequestLimit)
+                reportViolation("late request", joinText(request.id, " was passed on, sent ",
+                                                         sentAfter.count(), " ms after SIGTERM"));
+            if (request.failure == HttpFailure::ConnectionLost && !request.cancelledAt)
+                reportViolation("lost response",
+                                joinText(request.id, " ran and was cut off by a stop, sent ",
+                                         sentAfter.count(), " ms after SIGTERM"));
+        }
+    }
+}
+
 void InvariantChecker::checkCancelledRequests()
 {
     std::size_t checkedRuns = 0;
--- a/tests/soak/invariants.h
+++ b/tests/soak/invariants.h
@@ -23,6 +23,8 @@
     std::chrono::milliseconds rollbackSlack{250};
     /** A request that did not run may be cut off by a stop within this time of being sent. */
     std::chrono::milliseconds earlyLossLimit{200};
+    /** From SIGTERM to the last request that a node passes on, with a turn of a busy loop. */
+    std::chrono::milliseconds lastRequestLimit{3'400};
     /** A deadline passed to a backend server may be this much later than the caller's. */
     std::chrono::milliseconds deadlineSlack{500};
     /** From the cancellation by the caller to the end of the run. */
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -10,6 +10,7 @@
 
 #include "core/logger.h"
 #include "core/text.h"
+#include "drivers/beast/http_wire.h"
 #include "platform/tests/record_encoder.h"
 #include "platform/wire_names.h"
 
@@ -53,6 +54,14 @@
     return 0;
 }
 
+std::vector<Fault> drawPlan(const SoakOptions &options)
+{
+    if (options.stopsUnderLoad)
+        return drawStopsUnderLoad(options.seed, options.injectionDuration);
+    return options.plannedOnly ? drawPlannedOperations(options.seed, options.injectionDuration)
+                               : drawFaults(options.seed, options.injectionDuration);
+}
+
 } // namespace
 
 Soak::CallerRoute Soak::makeRoute(const std::string &name, const std::string &service,
@@ -72,11 +81,7 @@
 }
 
 Soak::Soak(const SoakOptions &options)
-    : m_options(options)
-    , m_store(m_timers)
-    , m_random(options.seed)
-    , m_faults(options.plannedOnly ? drawPlannedOperations(options.seed, options.injectionDuration)
-                                   : drawFaults(options.seed, options.injectionDuration))
+    : m_options(options), m_store(m_timers), m_random(options.seed), m_faults(drawPlan(options))
 {
     m_directory = joinText(std::filesystem::temp_directory_path().string(), "/jacinthshift-soak-",
                            m_options.seed, "-", getpid());
@@ -84,7 +89,7 @@
     std::filesystem::create_directories(m_directory);
     m_routes = {makeRoute("list", "dispatch", "GET"), makeRoute("book", "dispatch", "POST"),
                 makeRoute("meters", "fleet", "GET"), makeRoute("order", "fleet", "POST")};
-    if (!options.plannedOnly) {
+    if (!options.plannedOnly && !options.stopsUnderLoad) {
         for (const Fault &fault : drawDepartureFaults(options.seed, options.injectionDuration))
             m_faults.push_back(fault);
     }
@@ -190,6 +195,7 @@
 void Soak::startNode(SoakNode &node)
 {
     writeSettings(node);
+    node.busyCallers.clear();
     ++node.generation;
     node.expectedToEnd = false;
     node.stopping = false;
@@ -225,6 +231,7 @@
     if (node.stopping)
         m_observations.disturbances[node.stopDisturbance].until = now;
     node.resumeTimer.stop();
+    node.shareTimer.stop();
     node.frozenSince = SteadyTime();
     node.missedProbes = 2;
     node.restartTimer = Timer(m_timers, m_timers.startOnce(RestartDelay, [this, &node] {
@@ -330,23 +337,40 @@
     }
 }
 
-void Soak::send(SoakNode &node, const CallerRoute &callerRoute, bool mayCancel)
+HttpRequest Soak::makeMessage(const CallerRoute &callerRoute, const std::string &id)
 {
     const TrafficRoute &route = callerRoute.route;
     const HeaderNames names = wire::headerNames();
-    const std::string id = joinText("r", ++m_lastRequestId);
     HttpRequest request{.method = callerRoute.method, .target = joinText(route.prefix, id)};
     request.headers = {{"Host", Host},
                        {names.requestId, id},
                        {names.deadline, std::to_string(route.timeout.count())}};
     if (!route.idempotent)
         request.body = std::string(200, 'b');
+    return request;
+}
+
+PipelinedRequest Soak::makePipelinedRequest(const SoakNode &node)
+{
+    const CallerRoute &callerRoute = m_routes[m_random.below(PermanentRoutes)];
+    const std::string id = joinText("busy-", ++m_lastRequestId);
+    const std::size_t index = m_observations.requestSent(
+            makeRecord(node, callerRoute.route, id, callerRoute.route.timeout));
+    const SerializedMessage message =
+            serializeRequest(node.callerEndpoint(), makeMessage(callerRoute, id));
+    return {.index = index, .bytes = joinText(message.head, message.body.string())};
+}
+
+void Soak::send(SoakNode &node, const CallerRoute &callerRoute, bool mayCancel)
+{
+    const TrafficRoute &route = callerRoute.route;
+    const std::string id = joinText("r", ++m_lastRequestId);
     const std::size_t index =
             m_observations.requestSent(makeRecord(node, route, id, route.timeout));
     m_observations.requests[index].addedInVersion = callerRoute.addedInVersion;
     const HttpCallId call =
             m_http.send(HttpSendOptions{.server = node.callerEndpoint(), .timeout = route.timeout},
-                        request, [this, index](const HttpResult &result) {
+                        makeMessage(callerRoute, id), [this, index](const HttpResult &result) {
                             m_observations.requestEnded(index, m_timers.now(), result);
                         });
     if (!mayCancel || m_random.below(CancelOneIn) != 0)
@@ -449,7 +473,8 @@
 bool Soak::areOperationsOver() const
 {
     return m_pendingSteps == 0 && std::all_of(m_nodes.begin(), m_nodes.end(), [](const auto &node) {
-               return node->backend->isRunning() && !node->backend->isLeaving();
+               return !node->shareTimer.isActive() && node->backend->isRunning()
+                      && !node->backend->isLeaving();
            });
 }
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -21,6 +21,7 @@
 #include "tests/soak/fault_plan.h"
 #include "tests/soak/invariants.h"
 #include "tests/soak/observation_log.h"
+#include "tests/soak/pipelining_caller.h"
 #include "tests/soak/slow_caller.h"
 #include "tests/soak/soak_backend.h"
 #include "tests/soak/soak_store.h"
@@ -38,6 +39,7 @@
     std::size_t nodesPerDomain = 3;
     double requestsPerSecond = 250.0; ///< Of all callers together.
     bool plannedOnly = false;         ///< Injects planned operations alone.
+    bool stopsUnderLoad = false;      ///< Injects stops of nodes that are kept busy alone.
     std::size_t slowCallers = 6;      ///< Callers that read long responses slowly.
     std::string binaryDirectory;      ///< Of the programs that the soak starts.
 };
@@ -70,6 +72,9 @@
         SteadyTime frozenSince;                      ///< Zero while it is not frozen.
         SteadyTime::duration frozenWhileStopping{0}; ///< By freezes that have ended.
         Timer restartTimer;
+        /** Keep it busy until its process has ended. */
+        std::vector<std::unique_ptr<PipeliningCaller>> busyCallers;
+        Timer shareTimer; ///< Limits its processor time while they do.
 
         /**
          * Returns whether it was told to stop before it could handle signals, which ends it at once
@@ -154,6 +159,7 @@
     // Actions of the operator and the callers.
     static CallerRoute makeRoute(const std::string &name, const std::string &service,
                                  const std::string &method);
+    static HttpRequest makeMessage(const CallerRoute &callerRoute, const std::string &id);
     void publishConfig();
     /** Sends a request on the route that this version added through every ready node. */
     void probeConfig(std::uint64_t version);
@@ -181,7 +187,12 @@
     void killAllAfterDeparture(const Fault &fault);
     void freeze(SoakNode &node, std::chrono::milliseconds duration);
     void unfreeze(SoakNode &node);
-    void stop(SoakNode &node);
+    /** Sends SIGTERM; the kind is that of the disturbance, which lasts until the node has ended. */
+    void stop(SoakNode &node, FaultKind kind = FaultKind::StopNode);
+    void stopUnderLoad(const Fault &fault);
+    /** Gives the node a share of a processor and callers that want more, until it has ended. */
+    void keepBusy(SoakNode &node);
+    PipelinedRequest makePipelinedRequest(const SoakNode &node);
     /** Sends all rules and the extra fields to the relay, after the request in flight, if any. */
     void sendToRelay(const nlohmann::json &extra);
     /** Adds a rule to the list for the duration of the fault. */
--- a/tests/soak/soak_faults.cpp
+++ b/tests/soak/soak_faults.cpp
@@ -16,7 +16,12 @@
 constexpr std::chrono::milliseconds RollingStepDelay{700};
 constexpr std::chrono::milliseconds ConfigStormInterval{120};
 constexpr std::chrono::milliseconds CrashDowntime{1'500};
-constexpr std::chrono::milliseconds MaxKillDelay{300}; ///< After an acknowledged departure.
+constexpr std::chrono::milliseconds MaxKillDelay{300};     ///< After an acknowledged departure.
+constexpr std::chrono::milliseconds MaxSignalDelay{3'000}; ///< Of further signals after SIGTERM.
+constexpr int BusyCallers = 8;                             ///< Of a node that is kept busy.
+// A node that is kept busy runs for the processor share of its settings.
+constexpr std::chrono::milliseconds SharePeriod{100};
+constexpr std::chrono::milliseconds BusyTimePerPeriod{20};
 constexpr std::uint32_t FailPercent = 40;
 constexpr std::uint32_t SlowFactor = 8;
 
@@ -71,6 +76,9 @@
     case FaultKind::KillAllAfterDeparture:
         killAllAfterDeparture(fault);
         break;
+    case FaultKind::StopUnderLoad:
+        stopUnderLoad(fault);
+        break;
     case FaultKind::ChangeConfig:
     case FaultKind::ConfigStorm:
     case FaultKind::TakeOutDomain:
@@ -119,7 +127,7 @@
     node.frozenSince = SteadyTime();
 }
 
-void Soak::stop(SoakNode &node)
+void Soak::stop(SoakNode &node, FaultKind kind)
 {
     if (node.process.hasEnded() || node.expectedToEnd)
         return;
@@ -129,12 +137,54 @@
     node.frozenWhileStopping = SteadyTime::duration(0);
     node.stopDisturbance = m_observations.disturbances.size();
     // watchNode() ends the disturbance when the node has exited.
-    recordDisturbance(
-            Fault{.kind = FaultKind::StopNode, .duration = std::chrono::milliseconds(7'000)},
-            node.index);
+    recordDisturbance(Fault{.kind = kind, .duration = std::chrono::milliseconds(7'000)},
+                      node.index);
     node.process.signal(SIGTERM);
 }
 
+void Soak::stopUnderLoad(const Fault &fault)
+{
+    Random random(m_options.seed + fault.target);
+    const SoakNode &first = *m_nodes[fault.target % m_nodes.size()];
+    const std::uint64_t extent = random.below(3); // One node, its failure domain or all nodes.
+    recordDisturbance(fault, std::nullopt);
+    for (const std::unique_ptr<SoakNode> &one : m_nodes) {
+        SoakNode &node = *one;
+        if (node.missedProbes > 0 || node.expectedToEnd || (extent == 0 && &node != &first)
+            || (extent == 1 && node.domain != first.domain))
+            continue;
+        keepBusy(node);
+        scheduleStep(fault.duration, [this, &node] { stop(node, FaultKind::StopUnderLoad); });
+        for (const int number : {SIGTERM, SIGHUP}) {
+            schedule(fault.duration + random.jitter(MaxSignalDelay), [&node, number] {
+                if (node.stopping)
+                    node.process.signal(number);
+            });
+        }
+    }
+    schedule(fault.duration + random.jitter(MaxSignalDelay), [this] { publishConfig(); });
+}
+
+void Soak::keepBusy(SoakNode &node)
+{
+    for (int i = 0; i < BusyCallers; ++i) {
+        node.busyCallers.push_back(std::make_unique<PipeliningCaller>(
+                PipeliningCallerOptions{.server = node.callerEndpoint(),
+                                        .nextRequest =
+                                                [this, &node] {
+                                                    return makePipelinedRequest(node);
+                                                }},
+                m_timers, m_observations));
+    }
+    node.shareTimer = Timer(m_timers, m_timers.startPeriodic(SharePeriod, [this, &node] {
+        node.process.signal(SIGCONT);
+        schedule(BusyTimePerPeriod, [&node] {
+            if (node.shareTimer.isActive())
+                node.process.signal(SIGSTOP);
+        });
+    }));
+}
+
 void Soak::beginNodeFault(const Fault &fault)
 {
     SoakNode &node = *m_nodes[fault.target % m_nodes.size()];
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -16,6 +16,7 @@
 DEFINE_uint32(nodes, 3, "number of nodes in each failure domain");
 DEFINE_double(rate, 250.0, "requests per second of all callers together");
 DEFINE_bool(planned, false, "inject planned operations alone");
+DEFINE_bool(stops_under_load, false, "inject stops of nodes that callers keep busy, alone");
 DEFINE_uint64(slow_callers, 6, "callers that read long responses slowly");
 DEFINE_string(binaries, JACINTHSHIFT_BINARIES, "folder of the program and its stand-ins");
 DEFINE_bool(keep, false, "keep logs and records even if all invariants held");
@@ -31,6 +32,7 @@
                           .nodesPerDomain = FLAGS_nodes,
                           .requestsPerSecond = FLAGS_rate,
                           .plannedOnly = FLAGS_planned,
+                          .stopsUnderLoad = FLAGS_stops_under_load,
                           .slowCallers = FLAGS_slow_callers,
                           .binaryDirectory = FLAGS_binaries});
     const absl::Status status = soak.run();
--- a/tests/soak/test_invariants.cpp
+++ b/tests/soak/test_invariants.cpp
@@ -55,6 +55,15 @@
                                                 .remaining = Milliseconds(990),
                                                 .at = time});
     }
+    /** Adds a stop of the request's node, with the SIGTERM at that time. */
+    void stopUnderLoad(int milliseconds)
+    {
+        observations.disturbances.push_back(
+                Disturbance{.kind = std::string(faultName(FaultKind::StopUnderLoad)),
+                            .from = at(milliseconds),
+                            .until = at(100),
+                            .node = 0});
+    }
     /** Returns the name of the first violated invariant, or "none". */
     std::string firstViolation() const
     {
@@ -162,6 +171,22 @@
                 .kind = "stop", .from = at(-10), .until = at(100), .node = 0, .planned = true});
         CHECK(small.firstViolation() == "graceful stop");
     }
+    SECTION("a stop under load cuts a request off that ran")
+    {
+        small.request().status = 0;
+        small.request().failure = HttpFailure::ConnectionLost;
+        small.stopUnderLoad(-10);
+        CHECK(small.firstViolation() == "lost response");
+        small.observations.runs.clear();
+        CHECK(small.firstViolation() == "none");
+    }
+    SECTION("a node passes a request on that was sent long after its SIGTERM")
+    {
+        small.stopUnderLoad(-3'300);
+        CHECK(small.firstViolation() == "none");
+        small.stopUnderLoad(-3'500);
+        CHECK(small.firstViolation() == "late request");
+    }
     SECTION("runs continue after their callers have cancelled")
     {
         for (int i = 0; i < 8; ++i) {
