Owner: reports at most 64 requests for one crash

Each request that was running when a backend server crashed was reported to the whole mesh, as many as had lost their connections within 150 ms; only the slots of the server bounded them.

An owner now records and reports those whose connections were lost first, at most 64 (BackendOwnerOptions::maxSuspects).

--- a/modules/owner/backend_owner.cpp
+++ b/modules/owner/backend_owner.cpp
@@ -699,9 +699,14 @@
     // A backend server that restarts under its id crashes again as another lifetime.
     const std::string lifetime = joinText(crashed.id, "#", crashed.startedAt.value_or(0));
     const SteadyTime now = m_timers.now();
+    std::size_t suspects = 0;
     for (const LostRequest &lost : m_lostRequests) {
-        if (m_poison.recordCrash(lost.fingerprint, lifetime, now))
-            m_observer.requestSuspected(lost.fingerprint, lifetime);
+        if (suspects == m_options.maxSuspects)
+            return;
+        if (!m_poison.recordCrash(lost.fingerprint, lifetime, now))
+            continue;
+        m_observer.requestSuspected(lost.fingerprint, lifetime);
+        ++suspects;
     }
 }
 
--- a/modules/owner/backend_owner.h
+++ b/modules/owner/backend_owner.h
@@ -54,6 +54,8 @@
      * elsewhere in the meantime.
      */
     std::size_t maxLateSuspects = 2;
+    /** Most requests that are reported for one crash: those whose connections were lost first. */
+    std::size_t maxSuspects = 64;
     /**
      * Upper bound of the load on a cold backend server, as a multiple of the policy's
      * coldRequestsPerSecond. Set by the operator.
--- a/modules/owner/tests/test_backend_owner.cpp
+++ b/modules/owner/tests/test_backend_owner.cpp
@@ -43,10 +43,11 @@
     std::vector<WorkResult> results;
     std::uint64_t sequence = 0;
 
-    explicit OwnerFixture(double coldFactor = 1.0)
+    explicit OwnerFixture(double coldFactor = 1.0, std::size_t maxSuspects = 64)
         : owner(BackendOwnerOptions{.node = "n",
                                     .service = "s",
                                     .headers = headerNames,
+                                    .maxSuspects = maxSuspects,
                                     .coldFactor = coldFactor},
                 http, timers, poison, observer)
     {
@@ -283,6 +284,23 @@
     CHECK(fixture.http.sentRequests.size() - before <= 12);
 }
 
+// Guards against reports to the whole mesh that grow with the number of requests of one crash.
+TEST_CASE("a bounded number of requests is reported for a crash")
+{
+    OwnerFixture fixture(1.0, 1);
+    fixture.run("1");
+    fixture.run("2");
+    fixture.http.fail(HttpFailure::ConnectionLost, Verdict::MayHaveRun);
+    fixture.http.fail(HttpFailure::ConnectionLost, Verdict::MayHaveRun);
+    fixture.run("3");
+    fixture.http.fail(HttpFailure::ConnectFailed, Verdict::NotRun);
+    fixture.timers.advance(milliseconds(200));
+    fixture.run("4");
+    fixture.http.fail(HttpFailure::ConnectFailed, Verdict::NotRun);
+    CHECK(fixture.owner.status().availability == BackendAvailability::Absent);
+    CHECK(fixture.observer.suspected.size() == 1);
+}
+
 namespace {
 
 /** An owner that may ask its backend server, which serves one request at a time. */
