Metrics: reports of crashes that a node gets, passes on, and holds

An operator could not see reports that run in circles: link_frames_total counts what is sent, but not whether it is news.

--- a/node/mesh_metrics.cpp
+++ b/node/mesh_metrics.cpp
@@ -76,6 +76,11 @@
     appendMetric("requests_open", sources.openRequests);
     appendMetric("calls_orphaned_total", sources.orphanedCalls);
     appendMetric("crash_suspects", sources.crashSuspects);
+    const CrashExchangeCounts &crashes = sources.crashes.counts();
+    appendMetric("crash_reports_received_total", crashes.received);
+    appendMetric("crash_reports_news_total", crashes.news);
+    appendMetric("crash_reports_dropped_total", crashes.dropped);
+    appendMetric("crash_reports_waiting", sources.crashes.waiting());
     appendMetric("departures_pending", sources.pendingDepartures);
     const BackendStatus &backend = sources.backend;
     appendMetric("backend_available", backend.availability == BackendAvailability::Ready ? 1 : 0);
--- a/node/mesh_metrics.h
+++ b/node/mesh_metrics.h
@@ -12,6 +12,7 @@
 #include "modules/feed/table_follower.h"
 #include "modules/fleet/fleet_network.h"
 #include "modules/forwarding/traffic_metrics.h"
+#include "modules/owner/crash_exchange.h"
 #include "node/graceful_shutdown.h"
 #include "node/loop_monitor.h"
 
@@ -38,6 +39,7 @@
     std::size_t openRequests = 0;
     std::uint64_t orphanedCalls = 0;
     std::size_t crashSuspects = 0;
+    const CrashExchange &crashes;
     std::size_t pendingDepartures = 0; ///< Of backend servers, not in the store yet.
     bool reportsUsage = false;         ///< Whether this node holds the duty of reporting usage.
     const GracefulShutdown &shutdown;
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -713,6 +713,7 @@
                             .openRequests = forwarder.openRequests(),
                             .orphanedCalls = callServer.orphanedCalls(),
                             .crashSuspects = poison.size(),
+                            .crashes = crashes,
                             .pendingDepartures = departures.pending(),
                             .reportsUsage = usage != nullptr && usage->service.isHolder(),
                             .shutdown = shutdown,
