A planned stop keeps to the time of its signal

What callers saw: requests that were taken 9.6 s after SIGTERM with a grace time of 10 s, passed on, and cut by the end of the process.

Cause: the steps and limits of a stop counted from when the signal was handled, and nothing but the timer of the closing step made the forwarder refuse requests, so a late loop shifted all of them towards the end of the grace time or beyond it.

Change: GracefulShutdown counts from the time of the signal and takes overdue steps at once, in the order of their times. The forwarder refuses requests (503) by the clock from the time of the closing step, or from the time of the last answers if that is earlier. A check asks each task once; the function with which both nodes added tasks is a member of GracefulShutdown.

--- a/modules/forwarding/forwarder.cpp
+++ b/modules/forwarding/forwarder.cpp
@@ -90,7 +90,7 @@
 
 bool Forwarder::admit(const RequestPointer &request)
 {
-    if (m_stopping) {
+    if (m_stopsAt && m_timers.now() >= *m_stopsAt) {
         refuse(request->responder, request->requestId, StatusUnavailable,
                m_options.retryAfterWhileStopping, "stopping");
         return false;
--- a/modules/forwarding/forwarder.h
+++ b/modules/forwarding/forwarder.h
@@ -127,7 +127,7 @@
     std::unordered_map<std::string, double> m_routeMeanBytes; ///< Mean sizes of response bodies.
     std::unordered_map<std::uint64_t, RequestPointer> m_requests;
     std::uint64_t m_lastId = 0;
-    bool m_stopping = false;
+    std::optional<SteadyTime> m_stopsAt;        ///< See stopAcceptingAt().
     std::optional<SteadyTime> m_latestDeadline; ///< Of all requests; see setLatestDeadline().
 
     /**
@@ -203,9 +203,8 @@
     bool isIdempotent(const HttpRequest &request) const;
     /** Forwards one request and answers it through the responder. */
     void forward(HttpRequest request, std::shared_ptr<HttpResponder> responder);
-    /** Refuses all further requests; those in flight are still answered. */
-    void stopAccepting() { m_stopping = true; }
-    bool isStopping() const { return m_stopping; }
+    /** Refuses all requests from this time on; those in flight are still answered. */
+    void stopAcceptingAt(SteadyTime time) { m_stopsAt = time; }
     /**
      * Sets the time by which requests that arrive from now on must end, whatever time their callers
      * and routes allow. Backend servers are given no more time either.
--- a/modules/forwarding/tests/test_forwarder.cpp
+++ b/modules/forwarding/tests/test_forwarder.cpp
@@ -474,8 +474,26 @@
     CHECK(bench.forwarder.openRequests() == 0);
 }
 
-// Guards against a frame that the other end refuses by closing the link, with all calls on it, and
-// against long bodies within the limits that are never served.
+// Guards against requests that a late loop takes after its stop was to close, as the timer for
+// that has not had its turn.
+TEST_CASE("planned stop: requests are refused by the clock from the time of its closing on")
+{
+    ForwarderBench bench;
+    bench.drainRemoteOwner();
+    bench.forwarder.stopAcceptingAt(bench.timers.now() + milliseconds(600));
+    bench.timers.advance(milliseconds(599));
+    const auto early = bench.send("/write/1");
+    CHECK(bench.local.requests.size() == 1);
+    bench.timers.advance(milliseconds(1));
+    const auto late = bench.send("/write/2");
+    REQUIRE(late->response.has_value());
+    CHECK(late->response->status == 503);
+    CHECK(bench.local.requests.size() == 1);
+    CHECK_FALSE(early->response.has_value());
+}
+
+// Guards against a frame that the other end refuses by closing the link, with all calls on it,
+// and against long bodies within the limits that are never served.
 TEST_CASE("a body that is too long for a frame reaches an owner on another node as a whole")
 {
     ForwarderBench bench;
@@ -585,8 +603,8 @@
     CHECK(bench.attempts() <= 300 + 30 + 11);
 }
 
-// Guards against requests to a backend server that said it shuts down, after its owner's process
-// restarted and learned of it from a late heartbeat.
+// Guards against requests to a backend server that said it shuts down, after its owner's
+// process restarted and learned of it from a late heartbeat.
 TEST_CASE("a backend server that said it leaves gets no requests when its owner has restarted")
 {
     ForwarderBench bench;
@@ -759,8 +777,8 @@
     CHECK(work.workspace.empty());
 }
 
-// Guards against retries of a request that was accepted and now fail, as its key is checked again,
-// and against such retries that contain the key.
+// Guards against retries of a request that was accepted and now fail, as its key is checked
+// again, and against such retries that contain the key.
 TEST_CASE("a key that is withdrawn after its request was accepted does not end the request")
 {
     WorkspaceBench bench;
--- a/node/graceful_shutdown.cpp
+++ b/node/graceful_shutdown.cpp
@@ -8,13 +8,25 @@
 
 namespace jacinthshift {
 
-void GracefulShutdown::begin(std::chrono::milliseconds minDuration, std::function<void()> finished)
+void GracefulShutdown::addTask(std::string name, std::chrono::milliseconds limit,
+                               std::function<std::size_t()> count)
+{
+    addTask({.name = std::move(name), .limit = limit, .unfinished = [count = std::move(count)] {
+                 return UnfinishedWork{.items = count()};
+             }});
+}
+
+void GracefulShutdown::begin(SteadyTime askedAt, std::chrono::milliseconds minDuration,
+                             std::function<void()> finished)
 {
     m_minDuration = minDuration;
     m_finished = std::move(finished);
-    m_startedAt = m_timers.now();
+    m_startedAt = askedAt;
+    std::stable_sort(m_steps.begin(), m_steps.end(),
+                     [](const auto &a, const auto &b) { return a.after < b.after; });
     m_checkTimer =
             Timer(m_timers, m_timers.startPeriodic(m_options.checkPeriod, [this] { check(); }));
+    takeDueSteps();
 }
 
 std::chrono::milliseconds GracefulShutdown::elapsed() const
@@ -39,50 +51,57 @@
     const std::chrono::milliseconds now = elapsed();
     if (now < m_minDuration)
         return;
-    const bool waits = std::any_of(m_tasks.begin(), m_tasks.end(), [now](const auto &task) {
-        return now < task.limit && task.unfinished().items > 0;
-    });
+    const std::vector<UnfinishedWork> unfinished = unfinishedWork();
+    UnfinishedWork cutOff;
+    bool waits = false;
+    for (std::size_t i = 0; i < m_tasks.size(); ++i) {
+        waits = waits || (now < m_tasks[i].limit && unfinished[i].items > 0);
+        cutOff.items += unfinished[i].items;
+        cutOff.bytes += unfinished[i].bytes;
+    }
     if (waits) {
-        logWaiting();
+        logWaiting(unfinished);
         return;
     }
     m_checkTimer.stop();
-    UnfinishedWork cutOff;
-    for (const ShutdownTask &task : m_tasks) {
-        const UnfinishedWork work = task.unfinished();
-        cutOff.items += work.items;
-        cutOff.bytes += work.bytes;
-    }
     logEvent(Event::NodeStopped, {{"cut_off", cutOff.items},
                                   {"cut_off_bytes", cutOff.bytes},
-                                  {"unfinished", describeUnfinished()},
+                                  {"unfinished", describe(unfinished)},
                                   {"ms", now.count()}});
     m_finished();
 }
 
-std::string GracefulShutdown::describeUnfinished() const
+std::vector<UnfinishedWork> GracefulShutdown::unfinishedWork() const
+{
+    std::vector<UnfinishedWork> unfinished;
+    for (const ShutdownTask &task : m_tasks)
+        unfinished.push_back(task.unfinished());
+    return unfinished;
+}
+
+std::string GracefulShutdown::describe(const std::vector<UnfinishedWork> &unfinished) const
 {
     std::string text;
-    for (const ShutdownTask &task : m_tasks) {
-        const UnfinishedWork work = task.unfinished();
+    for (std::size_t i = 0; i < m_tasks.size(); ++i) {
+        const UnfinishedWork &work = unfinished[i];
         if (work.items > 0)
-            text += joinText(text.empty() ? "" : ", ", task.name, " ", work.items, " (", work.bytes,
-                             " bytes)");
+            text += joinText(text.empty() ? "" : ", ", m_tasks[i].name, " ", work.items, " (",
+                             work.bytes, " bytes)");
     }
     return text;
 }
 
-void GracefulShutdown::logWaiting()
+void GracefulShutdown::logWaiting(const std::vector<UnfinishedWork> &unfinished)
 {
     std::string names;
-    for (const ShutdownTask &task : m_tasks) {
-        if (task.unfinished().items > 0)
-            names += task.name + " ";
+    for (std::size_t i = 0; i < m_tasks.size(); ++i) {
+        if (unfinished[i].items > 0)
+            names += m_tasks[i].name + " ";
     }
     if (std::exchange(m_waitsFor, names) == names)
         return;
     logEvent(Event::ShutdownWaiting,
-             {{"unfinished", describeUnfinished()}, {"ms", elapsed().count()}});
+             {{"unfinished", describe(unfinished)}, {"ms", elapsed().count()}});
 }
 
 } // namespace jacinthshift
--- a/node/graceful_shutdown.h
+++ b/node/graceful_shutdown.h
@@ -56,11 +56,13 @@
     std::string m_waitsFor; ///< Names of the unfinished tasks at the last check.
 
     void check();
-    void takeDueSteps();
+    /** Returns what each task has not finished. */
+    std::vector<UnfinishedWork> unfinishedWork() const;
     /** Returns the unfinished tasks as "NAME ITEMS (BYTES bytes), ...". */
-    std::string describeUnfinished() const;
+    std::string describe(const std::vector<UnfinishedWork> &unfinished) const;
     /** Logs for which tasks the process waits, if these have changed. */
-    void logWaiting();
+    void logWaiting(const std::vector<UnfinishedWork> &unfinished);
+    void takeDueSteps();
 
 public:
     GracefulShutdown(const GracefulShutdownOptions &options, TimerService &timers)
@@ -69,15 +71,20 @@
     }
 
     void addTask(ShutdownTask task) { m_tasks.push_back(std::move(task)); }
+    /** Adds a task of which only the number of items is known. */
+    void addTask(std::string name, std::chrono::milliseconds limit,
+                 std::function<std::size_t()> count);
     void addStep(ShutdownStep step) { m_steps.push_back(std::move(step)); }
 
     /**
-     * Starts the shutdown. The callback runs when the process may end, which is not before the
-     * given duration.
+     * Starts the shutdown and takes the steps that are due. All its times count from when the
+     * process was asked to stop. The callback runs when the process may end, which is not before
+     * the given duration.
      */
-    void begin(std::chrono::milliseconds minDuration, std::function<void()> finished);
+    void begin(SteadyTime askedAt, std::chrono::milliseconds minDuration,
+               std::function<void()> finished);
     bool isActive() const { return m_startedAt != SteadyTime(); }
-    /** Returns the time since begin(), or zero. */
+    /** Returns the time since the process was asked to stop, or zero. */
     std::chrono::milliseconds elapsed() const;
     const std::vector<ShutdownTask> &tasks() const { return m_tasks; }
 };
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -763,7 +763,9 @@
                                    {"late_ms", late.count()}});
     callerServer.disableKeepAlive();
     const std::chrono::milliseconds lastAnswer = settings.grace - GraceMargin - LastAnswerTime;
-    forwarder.setLatestDeadline(timers.now() + lastAnswer);
+    forwarder.setLatestDeadline(askedAt + lastAnswer);
+    // A request that could not be answered any more is refused as well.
+    forwarder.stopAcceptingAt(askedAt + std::min(CallerCloseDelay, lastAnswer));
     addShutdownTasks();
     shutdown.addStep({.after = OwnerLeaveDelay, .action = [this] {
                           ownerLeaving = true;
@@ -771,12 +773,11 @@
                       }});
     shutdown.addStep({.after = CallerCloseDelay, .action = [this] {
                           callerServer.stopListening();
-                          forwarder.stopAccepting();
                       }});
     shutdown.addStep({.after = lastAnswer, .action = [this] {
                           forwarder.endOpenRequests();
                       }});
-    shutdown.begin(std::min(CallerCloseDelay, settings.grace - GraceMargin),
+    shutdown.begin(askedAt, std::min(CallerCloseDelay, settings.grace - GraceMargin),
                    [this] { g_main_loop_quit(loop); });
 }
 
@@ -784,15 +785,9 @@
 {
     const std::chrono::milliseconds workLimit = settings.grace - GraceMargin;
     const std::chrono::milliseconds deliveryLimit = settings.grace - DeliveryMargin;
-    const auto addTask = [this](const char *name, std::chrono::milliseconds limit,
-                                std::function<std::size_t()> count) {
-        shutdown.addTask({.name = name, .limit = limit, .unfinished = [count = std::move(count)] {
-                              return UnfinishedWork{.items = count()};
-                          }});
-    };
-    addTask("requests", workLimit, [this] { return callerServer.openRequests(); });
-    addTask("work", workLimit, [this] { return owner.openRequests(); });
-    addTask("results", deliveryLimit, [this] { return callServer.unfinishedCalls(); });
+    shutdown.addTask("requests", workLimit, [this] { return callerServer.openRequests(); });
+    shutdown.addTask("work", workLimit, [this] { return owner.openRequests(); });
+    shutdown.addTask("results", deliveryLimit, [this] { return callServer.unfinishedCalls(); });
     shutdown.addTask(
             {.name = "responses", .limit = deliveryLimit, .unfinished = [this] {
                  const UndeliveredResponses responses = callerServer.undeliveredResponses();
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -268,21 +268,17 @@
     agent.stopAccepting();
     publishOwnRecord();
     addShutdownTasks();
-    shutdown.begin(LeaveNoticeTime, [this] { g_main_loop_quit(loop); });
+    shutdown.begin(askedAt, LeaveNoticeTime, [this] { g_main_loop_quit(loop); });
 }
 
 void Node::Components::addShutdownTasks()
 {
-    const auto addTask = [this](const char *name, std::function<std::size_t()> count) {
-        shutdown.addTask(
-                {.name = name, .limit = ShutdownTimeout, .unfinished = [count = std::move(count)] {
-                     return UnfinishedWork{.items = count()};
-                 }});
-    };
-    addTask("requests", [this] { return router.openRequests(); });
-    addTask("work",
-            [this] { return agent.isIdle() ? 0 : std::max<std::size_t>(agent.inFlight(), 1); });
-    addTask("responses", [this] { return callerServer.undeliveredResponses().connections; });
+    shutdown.addTask("requests", ShutdownTimeout, [this] { return router.openRequests(); });
+    shutdown.addTask("work", ShutdownTimeout, [this] {
+        return agent.isIdle() ? 0 : std::max<std::size_t>(agent.inFlight(), 1);
+    });
+    shutdown.addTask("responses", ShutdownTimeout,
+                     [this] { return callerServer.undeliveredResponses().connections; });
 }
 
 Node::Node(const NodeSettings &settings) : m_components(std::make_unique<Components>(settings)) {}
--- a/node/tests/test_graceful_shutdown.cpp
+++ b/node/tests/test_graceful_shutdown.cpp
@@ -28,7 +28,7 @@
     }
     void begin(milliseconds minDuration)
     {
-        shutdown.begin(minDuration, [this] { ended = true; });
+        shutdown.begin(timers.now(), minDuration, [this] { ended = true; });
     }
 };
 
@@ -80,6 +80,47 @@
     }
 }
 
+// Guards against a stop that begins late and ends after the process has been killed.
+TEST_CASE("a shutdown that begins late takes what is due at once and keeps its limits")
+{
+    StoppingProcess process;
+    std::string taken;
+    process.shutdown.addStep({.after = milliseconds(2'000), .action = [&taken] {
+                                  taken += "b";
+                              }});
+    process.shutdown.addStep({.after = milliseconds(500), .action = [&taken] {
+                                  taken += "a";
+                              }});
+    process.shutdown.addStep({.after = milliseconds(2'800), .action = [&taken] {
+                                  taken += "c";
+                              }});
+    process.openRequests = 1;
+    const SteadyTime askedAt = process.timers.now();
+    process.timers.advance(milliseconds(2'500));
+    process.shutdown.begin(askedAt, milliseconds(1'000), [&process] { process.ended = true; });
+    CHECK(taken == "ab");
+    CHECK(process.shutdown.elapsed() == milliseconds(2'500));
+    process.timers.advance(milliseconds(450));
+    CHECK(taken == "abc");
+    CHECK_FALSE(process.ended);
+    process.timers.advance(milliseconds(100));
+    CHECK(process.ended);
+}
+
+// Guards against counts that differ within one check, and against their cost.
+TEST_CASE("a check asks each task once")
+{
+    StoppingProcess process;
+    int asked = 0;
+    process.shutdown.addTask("counted", milliseconds(4'000), [&asked] {
+        ++asked;
+        return std::size_t(1);
+    });
+    process.begin(milliseconds(0));
+    process.timers.advance(milliseconds(50));
+    CHECK(asked == 1);
+}
+
 TEST_CASE("steps are taken once and by their times, whatever the order in which they were added")
 {
     StoppingProcess process;
