Rollout: bound a new version's share of the requests by a ledger on each node

Callers saw a faulty version get more than a tenth of the requests of its rollout's time and 50. The steps after the canary step gave a version that the judge took for sound all requests long before the order's duration had passed, so a fault that the judge missed, or that began later, was bounded by nothing.

Each node now keeps an ExposureLedger per rollout: requests that backend servers answered add 0.095 to its credit, a request to the new version costs one, retries and fallbacks included, and without credit requests go to the old version. The sum over all nodes is bounded without coordination. The ledger applies until the order's duration has passed or the rollout has completed; nodes tell their peers how old the order is, so a restarted node knows when that is. The pace fits the ledger: canary, a watch with 0.012 of the requests, and a ramp from 0.915 of the duration on. A rollout that could not complete in time goes on in gradual steps after it. Old owners are not braked as superseded while requests may come back to them, and tell when they are idle, as the ramp has no time to wait for heartbeats. No step or completion is made before the register has been read. An owner of a version that an earlier order has rolled back stays braked.

--- a/modules/fleet/message_codec.cpp
+++ b/modules/fleet/message_codec.cpp
@@ -590,13 +590,13 @@
 void encode(CborWriter &writer, const RolloutProgressMessage &message)
 {
     encodeFields(writer, Name{message.service}, Name{message.targetVersion}, message.step,
-                 message.outcome, message.domainDone);
+                 message.outcome, message.domainDone, message.ownerIdle, message.orderAge);
 }
 
 void decode(CborReader &reader, RolloutProgressMessage &message)
 {
     decodeFields(reader, Name{message.service}, Name{message.targetVersion}, message.step,
-                 message.outcome, message.domainDone);
+                 message.outcome, message.domainDone, message.ownerIdle, message.orderAge);
 }
 
 void encode(CborWriter &writer, const ProbeMessage &message)
--- a/modules/fleet/messages.h
+++ b/modules/fleet/messages.h
@@ -334,6 +334,9 @@
     RolloutOutcome outcome = RolloutOutcome::Open;
     /** All reachable nodes of the sender's failure domain are done with the old version. */
     bool domainDone = false;
+    bool ownerIdle = false; ///< The sender's backend server runs no request of the old version.
+    /** Time since the order, at least: since the first node that the sender knows of read it. */
+    std::chrono::milliseconds orderAge{0};
 };
 
 /** Asks a node which configuration was the newest in the store, and when. */
--- a/modules/fleet/tests/test_fleet_codec.cpp
+++ b/modules/fleet/tests/test_fleet_codec.cpp
@@ -68,7 +68,10 @@
             ProbeMessage{.reply = true},
             EvidenceBatchMessage{.reports = {{.node = "n", .sequence = 4, .service = "s"}}},
             ResponsePartMessage{.call = 3, .offset = 16, .bytes = std::string("\0\xff", 2)},
-            RolloutProgressMessage{.step = 2, .outcome = RolloutOutcome::RolledBack}};
+            RolloutProgressMessage{.step = 2,
+                                   .outcome = RolloutOutcome::RolledBack,
+                                   .ownerIdle = true,
+                                   .orderAge = std::chrono::milliseconds(4'000)}};
     for (const FleetMessage &message : messages) {
         INFO(message.index());
         const absl::StatusOr<FleetMessage> read = decodeFleetMessage(encodeFleetMessage(message));
--- a/modules/forwarding/forwarder.cpp
+++ b/modules/forwarding/forwarder.cpp
@@ -260,6 +260,7 @@
 
 void Forwarder::tryNextOwner(const RequestPointer &request)
 {
+    request->version = m_versions.reviseChoice(request->service, request->version);
     const std::optional<OwnerCandidate> owner = request->ownerAttempts < m_options.maxOwnerAttempts
                                                         ? chooseOwner(*request)
                                                         : std::nullopt;
@@ -271,6 +272,8 @@
     request->otherDomainAttempts += owner->sameDomain ? 0 : 1;
     request->triedNodes.push_back(owner->node);
     request->owner = owner->node;
+    request->ownerVersion = owner->backend.version;
+    m_versions.requestSent(request->service, request->ownerVersion);
     request->attemptStartedAt = m_timers.now();
     WorkRequest work = makeWorkRequest(*request);
     if (!request->version.requiredVersion.empty() || !request->version.excludedVersion.empty())
@@ -344,6 +347,8 @@
 void Forwarder::lateAttemptEnded(const RequestPointer &request, const WorkResult &result)
 {
     request->lateAttempt = 0;
+    if (result.verdict == Verdict::Done)
+        m_versions.requestAnswered(request->service);
     const bool hasServed =
             result.verdict == Verdict::Done && result.response.status < FirstServerError;
     if (hasServed) {
@@ -379,6 +384,7 @@
 {
     if (result.verdict != Verdict::Done || result.response.status >= FirstServerError)
         recordAttempt(*request, result);
+    reportReach(*request, result);
     request->owner.clear();
     request->callId = 0;
     request->lastRefusal = result.refusal;
@@ -414,6 +420,14 @@
     tryNextOwner(request);
 }
 
+void Forwarder::reportReach(const Request &request, const WorkResult &result)
+{
+    if (result.verdict == Verdict::Done)
+        m_versions.requestAnswered(request.service);
+    else if (result.verdict == Verdict::NotRun && !result.reachedBackend)
+        m_versions.requestNotReached(request.service, request.ownerVersion);
+}
+
 VersionChoice Forwarder::versionForRetry(const Request &request, const WorkResult &result)
 {
     // The retry excludes a new version that has just failed, if another version is allowed.
@@ -510,6 +524,8 @@
         hasNotRun = m_local.cancel(request.callId);
     else
         m_remote.cancel(request.callId);
+    if (hasNotRun)
+        reportReach(request, WorkResult{.verdict = Verdict::NotRun});
     request.mayHaveRun = request.mayHaveRun || !hasNotRun;
     request.owner.clear();
 }
--- a/modules/forwarding/forwarder.h
+++ b/modules/forwarding/forwarder.h
@@ -98,6 +98,7 @@
         bool mayHaveRun = false;
         SteadyTime attemptStartedAt;
         std::string owner;             ///< Owner of the current attempt; empty if there is none.
+        std::string ownerVersion;      ///< Version of its backend server.
         std::uint64_t callId = 0;      ///< Id of the current attempt at the local or remote owner.
         std::uint32_t lateAttempt = 0; ///< Number of the attempt whose owner is late; 0 if none.
         std::uint64_t lateCallId = 0;  ///< Its id at the remote owner.
@@ -153,6 +154,8 @@
     bool hasLargeResponse(const Request &request) const;
     WorkRequest makeWorkRequest(const Request &request) const;
     void attemptEnded(const RequestPointer &request, const WorkResult &result);
+    /** Tells the version policy whether the current attempt has reached a backend server. */
+    void reportReach(const Request &request, const WorkResult &result);
     /**
      * Makes another attempt for a request whose owner is late or lost, if that is allowed. The late
      * attempt goes on, as its response is better than none if the other attempt fails.
--- a/modules/forwarding/version_policy.h
+++ b/modules/forwarding/version_policy.h
@@ -28,6 +28,19 @@
 
     /** Returns the versions that the next request for a service may be sent to. */
     virtual VersionChoice chooseVersion(const std::string &service) = 0;
+    /** Returns the versions that the next attempt of a request may be sent to. */
+    virtual VersionChoice reviseChoice(const std::string & /*service*/, const VersionChoice &choice)
+    {
+        return choice;
+    }
+    /** A request is sent to an owner whose backend server runs a version. */
+    virtual void requestSent(const std::string & /*service*/, const std::string & /*version*/) {}
+    /** A request that was sent has certainly reached no backend server. */
+    virtual void requestNotReached(const std::string & /*service*/, const std::string & /*version*/)
+    {
+    }
+    /** A backend server has answered a request. */
+    virtual void requestAnswered(const std::string & /*service*/) {}
 };
 
 } // namespace jacinthshift
--- a/modules/rollout/rollout_controller.cpp
+++ b/modules/rollout/rollout_controller.cpp
@@ -13,10 +13,14 @@
 
 constexpr std::size_t MaxEarlyProgress = 4'096; ///< More than there are services.
 
-// The new version's share of the requests in each step after the canary step, from 0 to 1. The
-// shares increase gradually so that a fault under load shows at one of the steps.
+// The new version's share of the requests in each step of the ramp, from 0 to 1. The shares
+// increase gradually so that a fault under load shows at one of the steps.
 constexpr std::array<double, 4> RampShares = {0.2, 0.4, 0.7, 1.0};
-constexpr std::uint32_t LastStep = RampShares.size();
+constexpr std::uint32_t WatchStep = 1;
+constexpr std::uint32_t FirstRampStep = 2;
+// A ramp that has to fit into the exposure share consists of this step and the last one.
+constexpr std::uint32_t TimelyRampStep = 3;
+constexpr std::uint32_t LastStep = FirstRampStep + RampShares.size() - 1;
 
 std::chrono::milliseconds fractionOf(std::chrono::milliseconds duration, double fraction)
 {
@@ -38,6 +42,8 @@
 {
     network.addObserver(*this);
     m_tick = Timer(timers, timers.startPeriodic(options.tickPeriod, [this] { tick(); }));
+    m_rampTick =
+            Timer(timers, timers.startPeriodic(options.rampTickPeriod, [this] { rampTick(); }));
 }
 
 void RolloutController::setOrder(const RolloutOrder &order, TablePosition position)
@@ -52,10 +58,13 @@
             return;
         }
     }
-    const RolloutPointer rollout = std::make_shared<Rollout>(order, position, m_options.detector);
-    rollout->receivedAt = m_timers.now();
+    const RolloutPointer rollout =
+            std::make_shared<Rollout>(order, position, m_options.detector,
+                                      ExposureLedger(m_options.exposureShare, m_random.uniform()));
+    rollout->orderedAt = m_timers.now();
     rollout->stepStartedAt = m_timers.now();
     m_rollouts[order.service] = rollout;
+    m_faultyVersions[order.service].erase(order.targetVersion);
     logEvent(Event::RolloutOrdered, {{"service", order.service},
                                      {"target", order.targetVersion},
                                      {"within_ms", order.duration.count()},
@@ -109,15 +118,98 @@
     }
     if (!rollout.registerRead && rollout.step == 0)
         return VersionChoice{.requiredVersion = "", .excludedVersion = target};
-    const double share =
-            rollout.step == 0 ? m_options.canaryShare : RampShares.at(rollout.step - 1);
-    if (m_random.uniform() < share)
-        return VersionChoice{.requiredVersion = target,
-                             .excludedVersion = "",
-                             .allowFallback = rollout.step < LastStep};
+    const bool allowed = !isBound(rollout) || rollout.ledger.allowsRequest();
+    if (allowed && m_random.uniform() < targetShare(rollout))
+        return VersionChoice{
+                .requiredVersion = target, .excludedVersion = "", .allowFallback = true};
     return VersionChoice{.requiredVersion = "", .excludedVersion = target};
 }
 
+VersionChoice RolloutController::reviseChoice(const std::string &service,
+                                              const VersionChoice &choice)
+{
+    const auto found = m_rollouts.find(service);
+    if (found == m_rollouts.end() || found->second->outcome == RolloutOutcome::Completed)
+        return choice;
+    const Rollout &rollout = *found->second;
+    const std::string &target = rollout.order.targetVersion;
+    // The request may have waited since before the order or before the outcome.
+    if (choice.excludedVersion == target)
+        return choice;
+    const bool open = rollout.outcome == RolloutOutcome::Open;
+    if (open && choice.requiredVersion != target)
+        return chooseVersion(service);
+    if (!open || (isBound(rollout) && !rollout.ledger.allowsRequest()))
+        return VersionChoice{.requiredVersion = "", .excludedVersion = target};
+    return choice;
+}
+
+RolloutController::Rollout *RolloutController::openRollout(const std::string &service)
+{
+    const auto found = m_rollouts.find(service);
+    const bool open = found != m_rollouts.end() && found->second->outcome == RolloutOutcome::Open;
+    return open ? found->second.get() : nullptr;
+}
+
+void RolloutController::requestSent(const std::string &service, const std::string &version)
+{
+    Rollout *rollout = openRollout(service);
+    if (rollout != nullptr && rollout->order.targetVersion == version)
+        rollout->ledger.charge();
+}
+
+void RolloutController::requestNotReached(const std::string &service, const std::string &version)
+{
+    Rollout *rollout = openRollout(service);
+    if (rollout != nullptr && rollout->order.targetVersion == version)
+        rollout->ledger.refund();
+}
+
+void RolloutController::requestAnswered(const std::string &service)
+{
+    if (Rollout *rollout = openRollout(service))
+        rollout->ledger.requestAnswered();
+}
+
+std::chrono::milliseconds RolloutController::orderAge(const Rollout &rollout) const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(m_timers.now()
+                                                                 - rollout.orderedAt);
+}
+
+bool RolloutController::isBound(const Rollout &rollout) const
+{
+    return orderAge(rollout) < rollout.order.duration;
+}
+
+bool RolloutController::isRampDue(const Rollout &rollout) const
+{
+    const std::chrono::milliseconds duration = rollout.order.duration;
+    const auto stepTime = m_timers.now() - rollout.stepStartedAt;
+    if (rollout.step == WatchStep)
+        return orderAge(rollout) >= fractionOf(duration, m_options.rampFraction);
+    return stepTime >= fractionOf(duration, isBound(rollout) ? m_options.timelyStepFraction
+                                                             : m_options.stepFraction);
+}
+
+double RolloutController::targetShare(const Rollout &rollout) const
+{
+    if (rollout.step == 0)
+        return m_options.canaryShare;
+    if (rollout.step == WatchStep)
+        return m_options.watchShare;
+    const double share = RampShares.at(rollout.step - FirstRampStep);
+    if (isBound(rollout))
+        return share;
+    // The ledger has held the version's load back until now, so that it still increases gradually.
+    const auto late = orderAge(rollout) - rollout.order.duration;
+    const auto steps = static_cast<std::size_t>(
+            late
+            / std::max(fractionOf(rollout.order.duration, m_options.stepFraction),
+                       std::chrono::milliseconds(1)));
+    return std::min(share, RampShares.at(std::min(steps, RampShares.size() - 1)));
+}
+
 void RolloutController::messageReceived(const std::string &node, const FleetMessage &message)
 {
     if (const VersionEvidenceMessage *report = std::get_if<VersionEvidenceMessage>(&message)) {
@@ -185,8 +277,14 @@
 void RolloutController::applyPeerProgress(Rollout &rollout, const RolloutProgressMessage &progress,
                                           const std::string &source)
 {
-    rollout.peerProgress[source] = {
-            .step = progress.step, .domainDone = progress.domainDone, .receivedAt = m_timers.now()};
+    // Longer ages make no difference.
+    const std::chrono::milliseconds age =
+            std::clamp(progress.orderAge, std::chrono::milliseconds(0), rollout.order.duration * 2);
+    rollout.orderedAt = std::min(rollout.orderedAt, m_timers.now() - age);
+    rollout.peerProgress[source] = {.step = progress.step,
+                                    .domainDone = progress.domainDone,
+                                    .ownerIdle = progress.ownerIdle,
+                                    .receivedAt = m_timers.now()};
     if (rollout.outcome != RolloutOutcome::Open)
         return;
     if (progress.outcome != RolloutOutcome::Open)
@@ -212,6 +310,26 @@
     updateOwner();
 }
 
+void RolloutController::rampTick()
+{
+    for (const auto &[service, rollout] : std::map<std::string, RolloutPointer>(m_rollouts)) {
+        if (rollout->outcome != RolloutOutcome::Open || rollout->step < WatchStep)
+            continue;
+        advance(*rollout);
+        if (rollout->step == LastStep && isOwnerIdle(*rollout) != rollout->announcedIdle)
+            announce(*rollout);
+        writeIfDue(rollout);
+    }
+}
+
+bool RolloutController::isOwnerIdle(const Rollout &rollout) const
+{
+    const BackendStatus backend = m_owner.status();
+    const bool runsOldVersion = backend.service == rollout.order.service
+                                && backend.version != rollout.order.targetVersion;
+    return !runsOldVersion || backend.running + backend.queued == 0;
+}
+
 void RolloutController::broadcastEvidence()
 {
     const BackendStatus backend = m_owner.status();
@@ -255,11 +373,15 @@
         return;
     if (rollout.firstAnswerAt == SteadyTime())
         rollout.firstAnswerAt = now;
-    if (rollout.step == LastStep)
+    // A rollout may have ended as long as the register has not been read.
+    if (rollout.step == LastStep || !rollout.registerRead)
         return;
     if (rollout.step > 0) {
-        if (now - rollout.stepStartedAt
-            >= fractionOf(rollout.order.duration, m_options.stepFraction))
+        if (!isRampDue(rollout))
+            return;
+        if (isBound(rollout))
+            setStep(rollout, rollout.step < TimelyRampStep ? TimelyRampStep : LastStep);
+        else
             setStep(rollout, rollout.step + 1);
         return;
     }
@@ -268,10 +390,10 @@
                                          rollout.order.duration, m_options.canaryFraction);
     const bool canaryTimeExceeded =
             candidateRequests >= m_options.canaryRequests / 2
-            && now - rollout.receivedAt
+            && orderAge(rollout)
                        >= fractionOf(rollout.order.duration, m_options.canaryTimeoutFraction);
     if ((canaryPassed || canaryTimeExceeded) && isTargetReady(rollout))
-        setStep(rollout, 1);
+        setStep(rollout, WatchStep);
 }
 
 void RolloutController::setStep(Rollout &rollout, std::uint32_t step)
@@ -288,6 +410,8 @@
 void RolloutController::end(Rollout &rollout, RolloutOutcome outcome, const std::string &reason)
 {
     rollout.outcome = outcome;
+    if (outcome == RolloutOutcome::RolledBack)
+        m_faultyVersions[rollout.order.service].insert(rollout.order.targetVersion);
     rollout.writeDueSince = m_timers.now();
     logEvent(outcome == RolloutOutcome::Completed ? Event::RolloutCompleted
                                                   : Event::RolloutRolledBack,
@@ -302,6 +426,7 @@
 void RolloutController::announce(Rollout &rollout)
 {
     rollout.announcedAt = m_timers.now();
+    rollout.announcedIdle = isOwnerIdle(rollout);
     m_network.broadcast(progressOf(rollout));
 }
 
@@ -312,7 +437,9 @@
                                   .step = rollout.step,
                                   .outcome = rollout.outcome,
                                   .domainDone = m_network.needsRelays()
-                                                && areLinkedNodesDone(rollout, true)};
+                                                && areLinkedNodesDone(rollout, true),
+                                  .ownerIdle = isOwnerIdle(rollout),
+                                  .orderAge = orderAge(rollout)};
 }
 
 void RolloutController::updateOwner()
@@ -328,8 +455,12 @@
     const bool isTarget = backend.version == rollout.order.targetVersion;
     const bool open = rollout.outcome == RolloutOutcome::Open;
     m_owner.setRolloutTarget(open ? rollout.order.targetVersion : "");
-    const bool faulty = isTarget && rollout.outcome == RolloutOutcome::RolledBack;
-    const bool superseded = !isTarget && open && rollout.step == LastStep && isTargetReady(rollout);
+    const auto faultyVersions = m_faultyVersions.find(backend.service);
+    const bool faulty = faultyVersions != m_faultyVersions.end()
+                        && faultyVersions->second.contains(backend.version);
+    // As long as the ledger applies, it may send requests back to the old version.
+    const bool superseded = !isTarget && open && !isBound(rollout) && targetShare(rollout) >= 1.0
+                            && isTargetReady(rollout);
     m_owner.setBraked(faulty || superseded);
 }
 
@@ -370,20 +501,14 @@
 {
     if (rollout.step < LastStep)
         return false;
-    const auto idle = [&rollout](const BackendStatus &backend) {
-        const bool runsOldVersion = backend.service == rollout.order.service
-                                    && backend.version != rollout.order.targetVersion;
-        return !runsOldVersion || backend.running + backend.queued == 0;
-    };
-    if (!idle(m_owner.status()))
+    if (!isOwnerIdle(rollout))
         return false;
     for (const auto &[node, peer] : m_network.peers()) {
         if (!m_network.isReachable(peer) || (ownDomainOnly && !m_network.isInOwnDomain(peer)))
             continue;
         const auto progress = rollout.peerProgress.find(node);
-        if (progress == rollout.peerProgress.end() || progress->second.step < LastStep)
-            return false;
-        if (!idle(peer.status.backend) || peer.statusReceivedAt < rollout.stepStartedAt)
+        if (progress == rollout.peerProgress.end() || progress->second.step < LastStep
+            || !progress->second.ownerIdle)
             return false;
     }
     return true;
@@ -404,11 +529,26 @@
 {
     if (rollout.outcome != RolloutOutcome::Open)
         return rollout.outcome;
-    const bool lastStepElapsed = rollout.step == LastStep
-                                 && m_timers.now() - rollout.stepStartedAt >= fractionOf(
-                                            rollout.order.duration, m_options.lastStepFraction);
-    return lastStepElapsed && isOldVersionIdle(rollout) ? RolloutOutcome::Completed
-                                                        : RolloutOutcome::Open;
+    return rollout.registerRead && hasLastStepElapsed(rollout) && isOldVersionIdle(rollout)
+                   ? RolloutOutcome::Completed
+                   : RolloutOutcome::Open;
+}
+
+bool RolloutController::hasLastStepElapsed(const Rollout &rollout) const
+{
+    if (rollout.step < LastStep || targetShare(rollout) < 1.0)
+        return false;
+    const std::chrono::milliseconds duration = rollout.order.duration;
+    const SteadyTime now = m_timers.now();
+    if (isBound(rollout))
+        return rollout.ledger.allowsRequest()
+               && now - rollout.stepStartedAt >= fractionOf(duration, m_options.lastStepFraction);
+    // When the new version got all requests after the duration; see targetShare().
+    const SteadyTime unlimitedAt = rollout.orderedAt + duration
+                                   + fractionOf(duration, m_options.stepFraction)
+                                             * static_cast<std::int64_t>(RampShares.size() - 1);
+    return now - std::max(rollout.stepStartedAt, unlimitedAt)
+           >= fractionOf(duration, m_options.lateLastStepFraction);
 }
 
 void RolloutController::writeIfDue(const RolloutPointer &rollout)
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -444,7 +444,9 @@
     , rolloutRegister(storeClient)
     , rollouts(RolloutControllerOptions{.node = settings.node,
                                         .randomSeed = randomSeed,
-                                        .canaryShare = settings.canaryShare * 0.6},
+                                        .exposureShare = settings.canaryShare * 0.95,
+                                        .canaryShare = settings.canaryShare * 0.6,
+                                        .watchShare = settings.canaryShare * 0.12},
                network, timers, rolloutRegister, owner)
     , keyCheck({.headers = wire::headerNames(), .revokeTime = revokeTimeInForce(settings)},
                knowledge, bootClock)
