--- a/modules/owner/crash_exchange.cpp
+++ b/modules/owner/crash_exchange.cpp
@@ -52,7 +52,7 @@
     if (m_sendTimer.isActive())
         return;
     const SteadyTime now = m_timers.now();
-    const SteadyTime due = std::max(now + m_options.collectTime, m_nextInterval);
+    const SteadyTime due = std::max(now + m_options.collectTime, m_nextSending);
     m_sendTimer = Timer(m_timers, m_timers.startOnce(std::chrono::ceil<milliseconds>(due - now),
                                                      [this] { sendWaiting(); }));
 }
@@ -61,7 +61,7 @@
 {
     m_sendTimer.stop();
     const SteadyTime earliest = m_timers.now() - m_options.sendInterval * m_options.maxBurst;
-    m_nextInterval = std::max(m_nextInterval, earliest) + m_options.sendInterval;
+    m_nextSending = std::max(m_nextSending, earliest) + m_options.sendInterval;
     const CrashReportsMessage ownDomain = takeMessage(m_forOwnDomain);
     if (!ownDomain.crashes.empty()) {
         for (const auto &[node, peer] : m_network.peers()) {
--- a/modules/owner/crash_exchange.h
+++ b/modules/owner/crash_exchange.h
@@ -65,7 +65,7 @@
     std::map<std::string, LinkedPeer> m_linkedPeers;
     CrashExchangeCounts m_counts;
     bool m_wasRelay = false;
-    SteadyTime m_nextInterval; ///< When messages that kept the interval so far would be followed.
+    SteadyTime m_nextSending; ///< Earliest time; it is in the past while a burst is allowed.
     Timer m_sendTimer;
 
     /** Adds a crash to a queue, to be sent when it is due. */
