Event loop: metrics tell which part of an iteration takes long

What operators saw: LoopDelayed says that the loop was late, and nothing says whether input, timers or output made it so; the incident's hypotheses could not be told apart.

Cause: only the lateness of one timer was measured.

Change: EpollLoop keeps the longest time of each part of an iteration; three metrics give them. Parts that have nothing to do cost no clock read.

Result: `unit_tests "the longest*"` is new and passes; all 388 unit tests pass.

--- a/drivers/epoll/epoll_loop.cpp
+++ b/drivers/epoll/epoll_loop.cpp
@@ -19,6 +19,14 @@
 /** After a shorter wait the events were ready before it. */
 constexpr std::chrono::milliseconds MinWait{1};
 
+/** Raises the longest time to the time since the start, and returns the current time. */
+SteadyTime recordLongest(std::chrono::microseconds &longest, SteadyTime start)
+{
+    const SteadyTime now = std::chrono::steady_clock::now();
+    longest = std::max(longest, std::chrono::duration_cast<std::chrono::microseconds>(now - start));
+    return now;
+}
+
 } // namespace
 
 /** The GSource, extended by a pointer to the loop. */
@@ -175,12 +183,18 @@
 gboolean EpollLoop::dispatch(GSource *source, GSourceFunc, gpointer)
 {
     EpollLoop *loop = reinterpret_cast<LoopSource *>(source)->loop;
-    loop->m_now = std::chrono::steady_clock::now();
+    const SteadyTime start = std::chrono::steady_clock::now();
+    loop->m_now = start;
     loop->m_dispatching = true;
+    LongestIterationParts &longest = loop->m_longestParts;
     loop->notifyObservers();
     loop->runEvents();
-    loop->runTimers();
-    loop->runDeferred();
+    const SteadyTime eventsEnd = recordLongest(longest.events, start);
+    SteadyTime timersEnd = eventsEnd;
+    if (loop->runTimers(eventsEnd))
+        timersEnd = recordLongest(longest.timers, eventsEnd);
+    if (loop->runDeferred())
+        recordLongest(longest.deferred, timersEnd);
     loop->m_dispatching = false;
     return G_SOURCE_CONTINUE;
 }
@@ -209,10 +223,10 @@
     }
 }
 
-void EpollLoop::runDeferred()
+bool EpollLoop::runDeferred()
 {
     if (m_deferredCallbacks.empty())
-        return;
+        return false;
     // What a deferred callback defers runs in the next iteration.
     std::vector<Callback> callbacks =
             std::exchange(m_deferredCallbacks, std::move(m_spareCallbacks));
@@ -220,6 +234,7 @@
         callback();
     callbacks.clear();
     m_spareCallbacks = std::move(callbacks);
+    return true;
 }
 
 void EpollLoop::defer(Callback callback)
@@ -227,14 +242,17 @@
     m_deferredCallbacks.push_back(std::move(callback));
 }
 
-void EpollLoop::runTimers()
+bool EpollLoop::runTimers(SteadyTime now)
 {
-    const SteadyTime now = std::chrono::steady_clock::now();
     m_now = now;
     // Timers that are started meanwhile wait for the next iteration.
     const std::pair<SteadyTime, std::uint64_t> last(now, m_lastTimerId);
-    while (!m_timerQueue.empty() && m_timerQueue.begin()->first <= last)
+    bool hasFired = false;
+    while (!m_timerQueue.empty() && m_timerQueue.begin()->first <= last) {
         fire(m_timerQueue.begin()->second);
+        hasFired = true;
+    }
+    return hasFired;
 }
 
 void EpollLoop::fire(std::uint64_t id)
--- a/drivers/epoll/epoll_loop.h
+++ b/drivers/epoll/epoll_loop.h
@@ -33,6 +33,14 @@
     virtual void iterationBegins() = 0;
 };
 
+/** The longest time that each part of an iteration has taken since the process started. */
+struct LongestIterationParts
+{
+    std::chrono::microseconds events{0};   ///< Input, output that had to wait, and signals.
+    std::chrono::microseconds timers{0};   ///< All timers that were due at once.
+    std::chrono::microseconds deferred{0}; ///< Among them the output to links.
+};
+
 /**
  * A single GLib source that watches all sockets through epoll and stores all timers in one ordered
  * map.
@@ -76,6 +84,7 @@
     SteadyTime m_now;
     SteadyTime m_collectedAt; ///< When the last events were collected.
     std::chrono::milliseconds m_inputDelay{0};
+    LongestIterationParts m_longestParts;
     bool m_hasMoreEvents = false; ///< More descriptors may have been ready than were collected.
     bool m_dispatching = false;
 
@@ -106,11 +115,13 @@
     SteadyTime nextPeriodicDue(std::chrono::milliseconds period) const;
     /** Removes the first entry of the timer queue, which has this id, and calls its callback. */
     void fire(std::uint64_t id);
-    void runTimers();
+    /** Fires the timers that are due now. Returns whether there were any. */
+    bool runTimers(SteadyTime now);
     void notifyObservers();
     /** Handles pending events until none is left or their time in an iteration is used up. */
     void runEvents();
-    void runDeferred();
+    /** Returns whether there were any deferred callbacks. */
+    bool runDeferred();
 
 public:
     EpollLoop(const EpollLoop &) = delete;
@@ -144,6 +155,7 @@
      * was waiting for it.
      */
     std::chrono::milliseconds inputDelay() const { return m_inputDelay; }
+    const LongestIterationParts &longestParts() const { return m_longestParts; }
     WallTime wallNow() const override;
     TimerId startOnce(std::chrono::milliseconds delay, Callback callback) override;
     /** The first call is made after half a period at the earliest; see nextPeriodicDue(). */
--- a/drivers/tests/test_epoll_loop.cpp
+++ b/drivers/tests/test_epoll_loop.cpp
@@ -206,6 +206,28 @@
     CHECK(processorTime() - start < milliseconds(60));
 }
 
+// Guards against a delay of the loop of which nobody can say what caused it.
+TEST_CASE("the longest time of each part of an iteration is measured")
+{
+    EpollLoop &loop = EpollLoop::instance();
+    bool done = false;
+    loop.startOnce(milliseconds(1), [&] {
+        work(milliseconds(30));
+        loop.defer([&] {
+            work(milliseconds(40));
+            done = true;
+        });
+    });
+    runUntil(done);
+    CHECK(loop.longestParts().timers >= milliseconds(30));
+    CHECK(loop.longestParts().deferred >= milliseconds(40));
+    const ReadyDescriptors descriptors(milliseconds(20));
+    done = false;
+    loop.startOnce(milliseconds(1), [&] { done = true; });
+    runUntil(done);
+    CHECK(loop.longestParts().events >= milliseconds(20));
+}
+
 // Guards against a stop that begins seconds after its signal, and counts from there.
 TEST_CASE("a signal has its turn between ready descriptors and is given when it was received")
 {
--- a/node/mesh_metrics.cpp
+++ b/node/mesh_metrics.cpp
@@ -65,6 +65,9 @@
     appendMetric("loop_delay_ms", sources.loop.delay().count());
     appendMetric("loop_delay_max_ms", sources.loop.maxDelay().count());
     appendMetric("loop_delays_total", sources.loop.reportedDelays());
+    appendMetric("loop_longest_events_us", sources.loopParts.events.count());
+    appendMetric("loop_longest_timers_us", sources.loopParts.timers.count());
+    appendMetric("loop_longest_deferred_us", sources.loopParts.deferred.count());
     appendMetric("caller_connections", sources.callerConnections);
     appendMetric("requests_abandoned_total", sources.abandonedRequests);
     appendMetric("requests_run_ahead_total", sources.requestsRunAhead);
--- a/node/mesh_metrics.h
+++ b/node/mesh_metrics.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "core/byte_account.h"
+#include "drivers/epoll/epoll_loop.h"
 #include "modules/feed/operator_table.h"
 #include "modules/feed/table_follower.h"
 #include "modules/fleet/fleet_network.h"
@@ -42,6 +43,7 @@
     const CrashExchange &crashes;
     std::size_t pendingDepartures = 0; ///< Of backend servers, not in the store yet.
     bool reportsUsage = false;         ///< Whether this node holds the duty of reporting usage.
+    const LongestIterationParts &loopParts;
     const GracefulShutdown &shutdown;
     const ByteAccount &account;
     /** Calls to the platform's store, by outcome. */
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -718,6 +718,7 @@
                             .crashes = crashes,
                             .pendingDepartures = departures.pending(),
                             .reportsUsage = usage != nullptr && usage->service.isHolder(),
+                            .loopParts = timers.longestParts(),
                             .shutdown = shutdown,
                             .account = *account,
                             .storeCalls = storeClient.callCounts()});
