Soak: requests that are given up although they succeed

Change: invariant "given up": a request was answered 502 with 0.3 s or more left although a run of it succeeded by then, without another fault than stops under load around it. It applies in all modes.

--- a/tests/soak/invariants.cpp
+++ b/tests/soak/invariants.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr int StatusNotFound = 404;
+constexpr int StatusBadGateway = 502;
 // A few late runs are allowed, for requests in transit when a connection closes or a caller
 // cancels.
 constexpr std::size_t AllowedLateRuns = 3;
@@ -50,6 +51,7 @@
     void checkConfigs();
     void checkGracefulStops();
     void checkStopsUnderLoad();
+    void checkGivenUpRequests();
     void checkCancelledRequests();
 
 public:
@@ -78,6 +80,7 @@
     checkConfigs();
     checkGracefulStops();
     checkStopsUnderLoad();
+    checkGivenUpRequests();
     checkCancelledRequests();
     return std::move(m_violations);
 }
@@ -292,6 +295,25 @@
     }
 }
 
+void InvariantChecker::checkGivenUpRequests()
+{
+    for (const CallerRequest &request : m_observations.requests) {
+        const auto found = m_runs.find(request.id);
+        if (request.status != StatusBadGateway || found == m_runs.end()
+            || !m_observations.isUndisturbed(std::nullopt, request.sentAt - m_bounds.settleTime,
+                                             *request.endedAt, faultName(FaultKind::StopUnderLoad)))
+            continue;
+        const SteadyTime due = request.sentAt + request.timeout - m_bounds.resultTime;
+        const bool succeeded =
+                std::any_of(found->second.begin(), found->second.end(), [due](const Run *run) {
+                    return run->outcome == RunOutcome::Succeeded && *run->endedAt < due;
+                });
+        if (succeeded && *request.endedAt < due)
+            reportViolation("given up",
+                            joinText(request.id, " was answered 502 and succeeded in time"));
+    }
+}
+
 void InvariantChecker::checkCancelledRequests()
 {
     std::size_t checkedRuns = 0;
--- a/tests/soak/invariants.h
+++ b/tests/soak/invariants.h
@@ -25,6 +25,8 @@
     std::chrono::milliseconds earlyLossLimit{200};
     /** From SIGTERM to the last request that a node passes on, with a turn of a busy loop. */
     std::chrono::milliseconds lastRequestLimit{3'400};
+    /** A backend server's success this long before the deadline has to reach its caller. */
+    std::chrono::milliseconds resultTime{300};
     /** A deadline passed to a backend server may be this much later than the caller's. */
     std::chrono::milliseconds deadlineSlack{500};
     /** From the cancellation by the caller to the end of the run. */
--- a/tests/soak/observation_log.cpp
+++ b/tests/soak/observation_log.cpp
@@ -96,13 +96,13 @@
 }
 
 bool ObservationLog::isUndisturbed(std::optional<std::size_t> node, SteadyTime from,
-                                   SteadyTime until) const
+                                   SteadyTime until, std::string_view exceptedKind) const
 {
     return std::none_of(
             disturbances.begin(), disturbances.end(), [&](const Disturbance &disturbance) {
                 const bool affectsNode = !disturbance.node || !node || *disturbance.node == *node;
-                return affectsNode && !disturbance.planned && disturbance.from <= until
-                       && disturbance.until >= from;
+                return affectsNode && !disturbance.planned && disturbance.kind != exceptedKind
+                       && disturbance.from <= until && disturbance.until >= from;
             });
 }
 
--- a/tests/soak/observation_log.h
+++ b/tests/soak/observation_log.h
@@ -132,9 +132,10 @@
 
     /**
      * Returns whether only planned operations affected the node in that period. Without a node, all
-     * nodes are meant.
+     * nodes are meant. Disturbances of the excepted kind do not count.
      */
-    bool isUndisturbed(std::optional<std::size_t> node, SteadyTime from, SteadyTime until) const;
+    bool isUndisturbed(std::optional<std::size_t> node, SteadyTime from, SteadyTime until,
+                       std::string_view exceptedKind = {}) const;
 };
 
 } // namespace jacinthshift
--- a/tests/soak/test_invariants.cpp
+++ b/tests/soak/test_invariants.cpp
@@ -187,6 +187,20 @@
         small.stopUnderLoad(-3'500);
         CHECK(small.firstViolation() == "late request");
     }
+    SECTION("a request is answered 502 with time left although it succeeds, unless a node was "
+            "killed")
+    {
+        small.request().status = 502;
+        CHECK(small.firstViolation() == "given up");
+        small.stopUnderLoad(-10);
+        CHECK(small.firstViolation() == "given up");
+        small.request().endedAt = at(800);
+        CHECK(small.firstViolation() == "none");
+        small.request().endedAt = at(50);
+        small.observations.disturbances.push_back(
+                Disturbance{.kind = "kill node", .from = at(-10), .until = at(3), .node = 1});
+        CHECK(small.firstViolation() == "none");
+    }
     SECTION("runs continue after their callers have cancelled")
     {
         for (int i = 0; i < 8; ++i) {
