--- a/drivers/epoll/signal_watch.cpp
+++ b/drivers/epoll/signal_watch.cpp
@@ -70,6 +70,12 @@
     close(m_pipe[1]);
 }
 
+void SignalWatch::ignoreAfterwards()
+{
+    m_replacedAction = {};
+    m_replacedAction.sa_handler = SIG_IGN;
+}
+
 void SignalWatch::iterationBegins()
 {
     SignalState &state = signalStates[static_cast<std::size_t>(m_signal)];
--- a/drivers/epoll/signal_watch.h
+++ b/drivers/epoll/signal_watch.h
@@ -26,6 +26,9 @@
     SignalWatch &operator=(const SignalWatch &) = delete;
     ~SignalWatch() override;
 
+    /** Ignores the signal once the watch is destroyed, instead of restoring its earlier action. */
+    void ignoreAfterwards();
+
 private:
     int m_signal;
     Callback m_callback;
--- a/node/mesh_node.cpp
+++ b/node/mesh_node.cpp
@@ -826,14 +826,16 @@
 
 void MeshNode::run()
 {
-    const SignalWatch hangUp(SIGHUP,
-                             [this](SteadyTime) { m_components->reloadSettings("SIGHUP"); });
+    SignalWatch hangUp(SIGHUP, [this](SteadyTime) { m_components->reloadSettings("SIGHUP"); });
     const auto stop = [this](SteadyTime receivedAt) {
         m_components->beginShutdown(receivedAt);
     };
-    const SignalWatch terminate(SIGTERM, stop);
-    const SignalWatch interrupt(SIGINT, stop);
+    SignalWatch terminate(SIGTERM, stop);
+    SignalWatch interrupt(SIGINT, stop);
     g_main_loop_run(m_components->loop);
+    // Otherwise a further signal would end the process while its objects are destroyed.
+    for (SignalWatch *watch : {&hangUp, &terminate, &interrupt})
+        watch->ignoreAfterwards();
     flushLog();
 }
 
--- a/tests/hostile/hostile_bench.cpp
+++ b/tests/hostile/hostile_bench.cpp
@@ -402,6 +402,10 @@
         lateRequest = Timer(m_timers, m_timers.startOnce(stop.requestAfterStop, [&] {
             caller.send(request(stop.pipelined));
         }));
+    const SteadyTime stoppedAt = m_timers.now();
+    while (stop.repeatsSignal && !node.process.hasEnded()
+           && m_timers.now() - stoppedAt < stop.maxDuration)
+        node.process.signal(SIGTERM);
     std::vector<std::string> failures = awaitEnd(node, stop.maxDuration);
     if (stop.stopsReading)
         return failures;
--- a/tests/hostile/stop_case.h
+++ b/tests/hostile/stop_case.h
@@ -24,6 +24,7 @@
     std::chrono::milliseconds callerWait{8'000}; ///< The deadline in the requests.
     /** The caller sends a further request this long after the stop; none if zero. */
     std::chrono::milliseconds requestAfterStop{0};
+    bool repeatsSignal = false; ///< SIGTERM is sent again without a pause until the node has ended.
     /** The process has to end by itself this long after the stop began. */
     std::chrono::milliseconds maxDuration{6'000};
 };
--- a/tests/hostile/stop_cases.cpp
+++ b/tests/hostile/stop_cases.cpp
@@ -45,6 +45,8 @@
             {.name = "stop_idle_connection",
              .responseBytes = 600,
              .maxDuration = milliseconds(3'200)},
+            // Guards against a further SIGTERM that ends the process before it has returned.
+            {.name = "stop_repeated_signal", .responseBytes = 600, .repeatsSignal = true},
     };
 }
 
