Judge of rollouts: the counts of a new owner process start from zero

Cause: a new process was only recognised by fewer requests than the last report. With more requests but fewer failures the difference of the failures wrapped to about 2^64, and the requests before the restart were not added.

The judge compares incarnations now. "an owner that restarts with more requests and fewer failures is not declared faulty" (build/tests/unit_tests) failed before (a fault, 25 requests instead of 45) and passes now.

--- a/modules/rollout/rollout_judge.cpp
+++ b/modules/rollout/rollout_judge.cpp
@@ -12,8 +12,9 @@
     const std::pair position(report.incarnation, report.sequence);
     if (!isNew && position <= reporter.position)
         return false;
+    const bool isNewProcess = reporter.position.first != report.incarnation;
     reporter.position = position;
-    if (reporter.backend != report.backend) {
+    if (isNewProcess || reporter.backend != report.backend) {
         reporter.backend = report.backend;
         reporter.routes.clear();
     }
--- a/modules/rollout/tests/test_rollout_judge.cpp
+++ b/modules/rollout/tests/test_rollout_judge.cpp
@@ -180,6 +180,26 @@
     CHECK(judge.candidateRequests() == 14);
 }
 
+// Guards against counts of a new owner process that are taken for a continuation of the old ones.
+TEST_CASE("an owner that restarts with more requests and fewer failures is not declared faulty")
+{
+    RolloutJudge judge("v2", detectorOptions);
+    VersionEvidenceMessage report{
+            .node = "n",
+            .incarnation = 7,
+            .sequence = 9,
+            .version = "v2",
+            .backend = "b",
+            .routes = {{.route = "r", .counts = {.requests = 20, .failures = 1}}}};
+    judge.addReport(report);
+    report.incarnation = 8;
+    report.sequence = 1;
+    report.routes[0].counts = {.requests = 25, .failures = 0};
+    judge.addReport(report);
+    CHECK(judge.fault().empty());
+    CHECK(judge.candidateRequests() == 45);
+}
+
 TEST_CASE("a report that arrives on several ways, in any order, counts once")
 {
     RolloutJudge judge("v2", detectorOptions);
