Forwarding: look for another owner only with a token in the retry budget

Cause: while an owner is silent, each of its calls looks for another owner with each check, every 50 ms, which scans all peers although the retry budget is empty. Found by the review, by reading.

Change: the budget is asked first, without taking a token. A link is read for up to 10 ms a turn (2 before).

--- a/drivers/websocket/websocket_link_transport.cpp
+++ b/drivers/websocket/websocket_link_transport.cpp
@@ -17,7 +17,7 @@
 /** The first read of an event is short, as its frames may take long, and each next one longer. */
 constexpr std::size_t FirstReadBytes = 4 * 1024;
 /** After this time the rest of a link's input waits for the link's next turn. */
-constexpr std::chrono::milliseconds MaxReadTime{2};
+constexpr std::chrono::milliseconds MaxReadTime{10};
 /** Less output is not counted: each link has some at times. */
 constexpr std::size_t MinCountedOutputBytes = 64 * 1024;
 
--- a/modules/forwarding/forwarder.cpp
+++ b/modules/forwarding/forwarder.cpp
@@ -325,6 +325,7 @@
     const VersionChoice version = versionForRetry(*request, late);
     if (request->ownerAttempts >= m_options.maxOwnerAttempts
         || !isRetryable(*request, late, request->backendsReached + 1)
+        || !m_budgets.canConsume(request->service)
         || m_owners.candidates(ownerQuery(*request, version)).empty()
         || !m_budgets.tryConsume(request->service))
         return;
--- a/modules/forwarding/service_retry_budgets.h
+++ b/modules/forwarding/service_retry_budgets.h
@@ -24,6 +24,7 @@
     /** Sets the number of nodes that share the limits. */
     void setNodeCount(std::size_t nodeCount);
     void requestMade(const std::string &service) { budget(service).requestMade(); }
+    bool canConsume(const std::string &service) { return budget(service).canConsume(); }
     /** Consumes the token for one retry to a service. Returns false if its budget is used up. */
     bool tryConsume(const std::string &service) { return budget(service).tryConsume(); }
 };
--- a/modules/routing/retry_budget.h
+++ b/modules/routing/retry_budget.h
@@ -36,10 +36,11 @@
         m_tokens = std::min(m_options.maxTokens, m_tokens + m_options.tokensPerRequest);
     }
 
+    bool canConsume() const { return m_tokens >= 1.0; }
     /** Consumes the token for one retry. Returns false if the budget is used up. */
     bool tryConsume()
     {
-        if (m_tokens < 1.0)
+        if (!canConsume())
             return false;
         m_tokens -= 1.0;
         return true;
