--- a/modules/forwarding/tests/test_forwarder.cpp
+++ b/modules/forwarding/tests/test_forwarder.cpp
@@ -492,8 +492,8 @@
     CHECK_FALSE(early->response.has_value());
 }
 
-// Guards against a frame that the other end refuses by closing the link, with all calls on it,
-// and against long bodies within the limits that are never served.
+// Guards against a frame that the other end refuses by closing the link, with all calls on it, and
+// against long bodies within the limits that are never served.
 TEST_CASE("a body that is too long for a frame reaches an owner on another node as a whole")
 {
     ForwarderBench bench;
@@ -603,8 +603,8 @@
     CHECK(bench.attempts() <= 300 + 30 + 11);
 }
 
-// Guards against requests to a backend server that said it shuts down, after its owner's
-// process restarted and learned of it from a late heartbeat.
+// Guards against requests to a backend server that said it shuts down, after its owner's process
+// restarted and learned of it from a late heartbeat.
 TEST_CASE("a backend server that said it leaves gets no requests when its owner has restarted")
 {
     ForwarderBench bench;
@@ -777,8 +777,8 @@
     CHECK(work.workspace.empty());
 }
 
-// Guards against retries of a request that was accepted and now fail, as its key is checked
-// again, and against such retries that contain the key.
+// Guards against retries of a request that was accepted and now fail, as its key is checked again,
+// and against such retries that contain the key.
 TEST_CASE("a key that is withdrawn after its request was accepted does not end the request")
 {
     WorkspaceBench bench;
